Add the thin path from callers to targets as separate processes

Cause: nothing ran yet; every later decision needs a running whole to be measured against. Ruled out: starting with the decisions in isolation, since their interfaces would have been guesses; a reverse proxy from a library, which the users exclude and which repeats requests on its own terms. Change: citronknotd with callers' and operators' listeners, release notes accepted by one compare-and-set in the table service, forwarding that counts the bytes of each connection to know what did not run, stand-ins for the platform and for targets, the first commands of the command line, and a demonstration that compares callers' answers with targets' runs. Limits are split evenly by a setting until escrow exists. Conclusion: the frame holds; the parts can be thickened one by one behind the same seams.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+.PHONY: build demo test lint fmt
+
+GO ?= go
+TOOL = $(GO) tool -modfile=tools/go.mod
+
+build:
+	$(GO) build -o bin/ ./cmd/... ./standin/platformd ./standin/targetd
+
+# demo runs the whole path as separate processes on loopback.
+demo: build
+	timeout 60 scripts/demo.sh
+
+test:
+	$(GO) test -race -timeout 10m ./...
+
+fmt:
+	$(TOOL) gofumpt -l -w $$(git ls-files -co --exclude-standard '*.go')
+
+lint:
+	@out=$$($(TOOL) gofumpt -l $$(git ls-files -co --exclude-standard '*.go')); test -z "$$out" || { echo "gofumpt: $$out"; exit 1; }
+	$(TOOL) golangci-lint run ./...
--- /dev/null
+++ b/caller/problem.go
@@ -0,0 +1,67 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"citronknot/fleet"
+)
+
+// Outcome says whether a request ran.
+type Outcome string
+
+// The outcomes. NotRun is only given when no byte of the request can have reached a target,
+// or the target's guard refused it.
+const (
+	Ran     Outcome = "ran"
+	NotRun  Outcome = "not_run"
+	Unknown Outcome = "unknown"
+)
+
+// Problem is an answer of citronknot's own, in the place of a target's.
+type Problem struct {
+	Status   int
+	Title    string
+	Detail   string
+	Run      Outcome
+	Field    string // for invalid input: the header or path element
+	Accepted string // for invalid input: what is accepted there
+}
+
+func (p *Problem) Error() string {
+	return fmt.Sprintf("caller: %s (status %d, %s)", p.Title, p.Status, p.Run)
+}
+
+type wireProblem struct {
+	Type      string `json:"type"`
+	Title     string `json:"title"`
+	Status    int    `json:"status"`
+	Detail    string `json:"detail,omitempty"`
+	Run       string `json:"run"`
+	RequestID string `json:"request_id,omitempty"`
+	Field     string `json:"field,omitempty"`
+	Accepted  string `json:"accepted,omitempty"`
+}
+
+func badField(status int, field, value, accepted string) *Problem {
+	return &Problem{
+		Status: status, Title: "invalid " + field, Run: NotRun, Field: field, Accepted: accepted,
+		Detail: fmt.Sprintf("%s %q is not accepted; accepted: %s", field, value, accepted),
+	}
+}
+
+// WriteProblem answers a request with p.
+func WriteProblem(w http.ResponseWriter, id fleet.RequestID, p *Problem) {
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set(HeaderRun, string(p.Run))
+	if id != "" {
+		h.Set(HeaderRequestID, string(id))
+	}
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(wireProblem{
+		Type: "about:blank", Title: p.Title, Status: p.Status, Detail: p.Detail, Run: string(p.Run),
+		RequestID: string(id), Field: p.Field, Accepted: p.Accepted,
+	})
+}
--- /dev/null
+++ b/operator/doc.go
@@ -0,0 +1,3 @@
+// Package operator speaks to operators: it serves the administration API and provides its
+// client.
+package operator
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,246 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"citronknot/platform"
+)
+
+// Faults are the failures that a platform can be told to show.
+type Faults struct {
+	Down     bool     `json:"down"`      // every call fails with 503 and has no effect
+	Lose     bool     `json:"lose"`      // commits take effect, but their answers are lost
+	DelayMS  int64    `json:"delay_ms"`  // added to every call
+	CutZones []string `json:"cut_zones"` // calls from these zones are dropped
+	FreezeMS int64    `json:"freeze_ms"` // the instance list lags by this much
+}
+
+// Platform is a stand-in for the platform. The zero value is ready to use.
+type Platform struct {
+	mu        sync.Mutex
+	rows      map[platform.WireRef]platform.WireRow
+	last      uint64
+	objects   map[string][]byte
+	instances map[string]platform.WireInstance
+	faults    Faults
+
+	// Reboot is called when an instance is to be rebooted; nil does nothing.
+	Reboot func(id string)
+
+	Writes atomic.Int64 // commits applied
+	Reads  atomic.Int64 // queries answered
+}
+
+// SetFaults replaces the failures shown.
+func (p *Platform) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+// SetInstance changes the state of an instance in the list; an empty state removes it.
+func (p *Platform) SetInstance(in platform.WireInstance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.instances == nil {
+		p.instances = map[string]platform.WireInstance{}
+	}
+	if in.State == "" {
+		delete(p.instances, in.ID)
+		return
+	}
+	p.instances[in.ID] = in
+}
+
+// Commit applies t if its checks hold.
+func (p *Platform) Commit(t platform.WireTransaction) (platform.WireCommit, int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out platform.WireCommit
+	if len(t.Writes) > platform.MaxRows {
+		return out, http.StatusRequestEntityTooLarge
+	}
+	for _, c := range t.Checks {
+		ref := platform.WireRef{Table: c.Table, Key: c.Key}
+		if p.rows[ref].Version != c.Version {
+			out.Conflicts = append(out.Conflicts, ref)
+		}
+	}
+	if len(out.Conflicts) > 0 {
+		return out, http.StatusConflict
+	}
+	if p.rows == nil {
+		p.rows = map[platform.WireRef]platform.WireRow{}
+	}
+	for _, w := range t.Writes {
+		// Versions never repeat, so that a row that was deleted and made anew is not
+		// mistaken for the old one.
+		p.last++
+		ref := platform.WireRef{Table: w.Table, Key: w.Key}
+		if w.Delete {
+			delete(p.rows, ref)
+		} else {
+			p.rows[ref] = platform.WireRow{Table: w.Table, Key: w.Key, Version: p.last, Value: w.Value}
+		}
+		out.Versions = append(out.Versions, p.last)
+	}
+	p.Writes.Add(1)
+	return out, http.StatusOK
+}
+
+// Query returns the rows that q asks for.
+func (p *Platform) Query(q platform.WireQuery) platform.WireRows {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Reads.Add(1)
+	out := platform.WireRows{Rows: []platform.WireRow{}}
+	for _, g := range q.Gets {
+		if r, ok := p.rows[g]; ok {
+			out.Rows = append(out.Rows, r)
+		}
+	}
+	for _, s := range q.Scans {
+		var found []platform.WireRow
+		for ref, r := range p.rows {
+			if ref.Table == s.Table && strings.HasPrefix(ref.Key, s.Prefix) {
+				found = append(found, r)
+			}
+		}
+		sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+		out.Rows = append(out.Rows, found...)
+	}
+	return out
+}
+
+// ServeHTTP serves the platform's protocol, and POST /faults and /instances to steer it.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/faults":
+		var f Faults
+		if decode(w, r, &f) {
+			p.SetFaults(f)
+		}
+		return
+	case "/instances":
+		var in platform.WireInstance
+		if decode(w, r, &in) {
+			p.SetInstance(in)
+		}
+		return
+	}
+	lose, ok := p.fail(r)
+	if !ok {
+		http.Error(w, "unavailable", http.StatusServiceUnavailable)
+		return
+	}
+	p.serve(w, r, lose)
+}
+
+// fail waits and reports what the faults say of a call.
+func (p *Platform) fail(r *http.Request) (lose, ok bool) {
+	p.mu.Lock()
+	f := p.faults
+	p.mu.Unlock()
+	if f.DelayMS > 0 {
+		select {
+		case <-time.After(time.Duration(f.DelayMS) * time.Millisecond):
+		case <-r.Context().Done():
+		}
+	}
+	zone := r.Header.Get(platform.ZoneHeader)
+	for _, z := range f.CutZones {
+		if z == zone {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	return f.Lose, !f.Down
+}
+
+func (p *Platform) serve(w http.ResponseWriter, r *http.Request, lose bool) {
+	switch {
+	case r.URL.Path == "/v1/transactions":
+		var t platform.WireTransaction
+		if !decode(w, r, &t) {
+			return
+		}
+		out, status := p.Commit(t)
+		if lose {
+			panic(http.ErrAbortHandler)
+		}
+		answer(w, status, out)
+	case r.URL.Path == "/v1/reads":
+		var q platform.WireQuery
+		if decode(w, r, &q) {
+			answer(w, http.StatusOK, p.Query(q))
+		}
+	case r.URL.Path == "/v1/instances":
+		answer(w, http.StatusOK, p.list())
+	case strings.HasPrefix(r.URL.Path, "/v1/instances/") && strings.HasSuffix(r.URL.Path, "/reboot"):
+		id := strings.TrimSuffix(strings.TrimPrefix(r.URL.Path, "/v1/instances/"), "/reboot")
+		if p.Reboot != nil {
+			p.Reboot(id)
+		}
+		w.WriteHeader(http.StatusAccepted)
+	case strings.HasPrefix(r.URL.Path, "/v1/objects/"):
+		p.object(w, r, strings.TrimPrefix(r.URL.Path, "/v1/objects/"))
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (p *Platform) list() platform.WireInstances {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := platform.WireInstances{Instances: []platform.WireInstance{}}
+	for _, in := range p.instances {
+		out.Instances = append(out.Instances, in)
+	}
+	sort.Slice(out.Instances, func(i, j int) bool { return out.Instances[i].ID < out.Instances[j].ID })
+	return out
+}
+
+func (p *Platform) object(w http.ResponseWriter, r *http.Request, name string) {
+	if r.Method == http.MethodPut {
+		text, err := io.ReadAll(r.Body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.objects == nil {
+			p.objects = map[string][]byte{}
+		}
+		p.objects[name] = text
+		return
+	}
+	p.mu.Lock()
+	text, ok := p.objects[name]
+	p.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write(text)
+}
+
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(r.Body).Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/standin/platformd/main.go
@@ -0,0 +1,27 @@
+// Command platformd is a stand-in for the platform.
+package main
+
+import (
+	"log/slog"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"citronknot/standin"
+)
+
+func main() {
+	var opts struct {
+		Listen string `long:"listen" env:"PLATFORMD_LISTEN" default:"127.0.0.1:7000" description:"address to listen on"`
+	}
+	if _, err := flags.Parse(&opts); err != nil {
+		os.Exit(2)
+	}
+	server := &http.Server{Addr: opts.Listen, Handler: &standin.Platform{}, ReadHeaderTimeout: 5 * time.Second}
+	if err := server.ListenAndServe(); err != nil {
+		slog.Error("platformd: listen failed", "err", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/standin/targetd/main.go
@@ -0,0 +1,30 @@
+// Command targetd is a stand-in for a target.
+package main
+
+import (
+	"log/slog"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"citronknot/standin"
+)
+
+func main() {
+	var opts struct {
+		Listen string        `long:"listen" env:"TARGETD_LISTEN" default:"127.0.0.1:7100" description:"address to listen on"`
+		Slots  int           `long:"slots" env:"TARGETD_SLOTS" default:"8" description:"requests that run at once"`
+		Work   time.Duration `long:"work" env:"TARGETD_WORK" default:"5ms" description:"time of a run"`
+	}
+	if _, err := flags.Parse(&opts); err != nil {
+		os.Exit(2)
+	}
+	target := &standin.Target{Slots: opts.Slots, Work: opts.Work}
+	server := &http.Server{Addr: opts.Listen, Handler: target, ConnContext: standin.ConnContext, ReadHeaderTimeout: 5 * time.Second}
+	if err := server.ListenAndServe(); err != nil {
+		slog.Error("targetd: listen failed", "err", err)
+		os.Exit(1)
+	}
+}
