Decode release notes strictly, with the line and column of each fault

Cause: encoding/json matches names in any case, takes the last of repeated fields, stops at the first fault, and gives no line; a missing limit was read as 0. Ruled out: json.Decoder tokens, whose offsets are the ends of tokens and which still need a walk over the text. Change: a walk over the checked text against the list of known fields; unknown, repeated and missing fields, wrong types, numbers out of range, trailing text, 4 MB and 16 levels are faults with positions, at most 100 of them. Mutations seen to fail, then restored: repeated field accepted, depth unbounded, lines from 0 (TestDecodeFaults); unknown field not reported but read (nil dereference in TestDecodeFaults/unknown_field); urgent read as open (TestRoundTrip). Conclusion: a note means the same at each reader, and a fault is found at its place.

--- a/note/decode.go
+++ b/note/decode.go
@@ -1,78 +1,89 @@
 package note
 
 import (
-	"bytes"
-	"encoding/json"
-	"io"
 	"strconv"
 
-	"github.com/rotisserie/eris"
-
-	"citronknot/clock"
 	"citronknot/fleet"
 )
 
-// Decode reads the JSON text of one release note. Unknown fields are refused, so that a
-// misspelt field is never taken for an absent one.
+// Decode reads the text of one release note. It fails with *[DecodeError].
 func Decode(text []byte) (fleet.ReleaseNote, error) {
-	var w wireNote
-	d := json.NewDecoder(bytes.NewReader(text))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&w); err != nil {
-		return fleet.ReleaseNote{}, eris.Wrap(err, "note: decode")
+	n, _, err := DecodeWithPositions(text)
+	return n, err
+}
+
+// DecodeWithPositions is [Decode] that also returns where the fields of the note are.
+func DecodeWithPositions(raw []byte) (fleet.ReleaseNote, Positions, error) {
+	positions := Positions{text: raw}
+	var n fleet.ReleaseNote
+	r, err := newReader(raw)
+	if err != nil {
+		return n, positions, err
 	}
-	if _, err := d.Token(); err != io.EOF {
-		return fleet.ReleaseNote{}, eris.New("note: text after the release note")
+	schema := Schema
+	r.object("", []field{
+		number("schema", &schema).must(),
+		text("id", &n.ID).must(),
+		version("base", &n.Base).must(),
+		nested("added", items(&n.Added)),
+		nested("changed", items(&n.Changed)),
+		nested("withdrawn", refs(&n.Withdrawn)),
+	})
+	positions.offsets = r.offsets
+	if schema != Schema {
+		r.fault(r.offsets["schema"], "schema", strconv.Itoa(schema), strconv.Itoa(Schema))
 	}
-	if w.Schema != Schema {
-		return fleet.ReleaseNote{}, &fleet.NoteError{Note: fleet.NoteID(w.ID), Faults: []fleet.Fault{{
-			Field: "schema", Value: strconv.Itoa(w.Schema), Accepted: strconv.Itoa(Schema),
-		}}}
+	if err := r.err(); err != nil {
+		return fleet.ReleaseNote{}, positions, err
 	}
-	return fleet.ReleaseNote{
-		ID:        fleet.NoteID(w.ID),
-		Base:      fleet.Version(w.Base),
-		Added:     decodeItems(w.Added),
-		Changed:   decodeItems(w.Changed),
-		Withdrawn: decodeRefs(w.Withdrawn),
-	}, nil
+	return n, positions, nil
 }
 
-func decodeItems(w wireItems) fleet.Items {
-	return fleet.Items{
-		Pools: each(w.Pools, func(p wirePool) fleet.Pool {
-			return fleet.Pool{
-				ID: fleet.PoolID(p.ID), Spare: p.Spare, MaxAbsent: p.MaxAbsent,
-				Maintenance: fleet.Maintenance{Every: clock.Millis(p.EveryMS), DrainBound: clock.Millis(p.DrainBoundMS)},
-			}
-		}),
-		Queues: each(w.Queues, func(q wireQueue) fleet.Queue {
-			return fleet.Queue{
-				ID: fleet.QueueID(q.ID), Pool: fleet.PoolID(q.Pool), Open: q.Open, Idempotent: q.Idempotent, Urgent: q.Urgent,
-				DefaultDeadline: clock.Millis(q.DefaultDeadlineMS), MaxDeadline: clock.Millis(q.MaxDeadlineMS), MaxWaiting: q.MaxWaiting,
-			}
-		}),
-		Teams: each(w.Teams, func(t wireTeam) fleet.Team {
-			return fleet.Team{
-				ID: fleet.TeamID(t.ID), Share: fleet.Share(t.Share), Limit: fleet.Slots(t.Limit), MaxStaleness: clock.Millis(t.MaxStalenessMS),
-			}
-		}),
-		Keys: each(w.Keys, func(k wireKey) fleet.Key {
-			return fleet.Key{Hash: fleet.KeyHash(k.Hash), Team: fleet.TeamID(k.Team)}
-		}),
-		Instances: each(w.Instances, func(in wireInstance) fleet.Instance {
-			return fleet.Instance{
-				ID: fleet.InstanceID(in.ID), Zone: fleet.ZoneID(in.Zone), Rack: fleet.RackID(in.Rack), Address: in.Address,
-				Slots: fleet.Slots(in.Slots), Connections: in.Connections, Pool: fleet.PoolID(in.Pool),
-			}
-		}),
+func items(it *fleet.Items) []field {
+	return []field{
+		list("pools", &it.Pools, readPool), list("queues", &it.Queues, readQueue), list("teams", &it.Teams, readTeam),
+		list("keys", &it.Keys, readKey), list("instances", &it.Instances, readInstance),
 	}
 }
 
-func decodeRefs(w wireRefs) fleet.Refs {
-	return fleet.Refs{
-		Pools: fromStrings[fleet.PoolID](w.Pools), Queues: fromStrings[fleet.QueueID](w.Queues),
-		Teams: fromStrings[fleet.TeamID](w.Teams), Keys: fromStrings[fleet.KeyHash](w.Keys),
-		Instances: fromStrings[fleet.InstanceID](w.Instances),
+func refs(r *fleet.Refs) []field {
+	return []field{
+		list("pools", &r.Pools, readText[fleet.PoolID]), list("queues", &r.Queues, readText[fleet.QueueID]),
+		list("teams", &r.Teams, readText[fleet.TeamID]), list("keys", &r.Keys, readText[fleet.KeyHash]),
+		list("instances", &r.Instances, readText[fleet.InstanceID]),
 	}
 }
+
+func readPool(r *reader, at string, p *fleet.Pool) {
+	r.object(at, []field{
+		text("id", &p.ID).must(), flag("spare", &p.Spare), number("max_absent", &p.MaxAbsent).must(),
+		number("maintenance_every_ms", &p.Maintenance.Every), number("drain_bound_ms", &p.Maintenance.DrainBound),
+	})
+}
+
+func readQueue(r *reader, at string, q *fleet.Queue) {
+	r.object(at, []field{
+		text("id", &q.ID).must(), text("pool", &q.Pool).must(),
+		flag("open", &q.Open), flag("idempotent", &q.Idempotent), flag("urgent", &q.Urgent),
+		number("default_deadline_ms", &q.DefaultDeadline).must(), number("max_deadline_ms", &q.MaxDeadline).must(),
+		number("max_waiting", &q.MaxWaiting).must(),
+	})
+}
+
+func readTeam(r *reader, at string, t *fleet.Team) {
+	r.object(at, []field{
+		text("id", &t.ID).must(), number("share", &t.Share).must(), number("limit", &t.Limit).must(),
+		number("max_staleness_ms", &t.MaxStaleness),
+	})
+}
+
+func readKey(r *reader, at string, k *fleet.Key) {
+	r.object(at, []field{text("hash", &k.Hash).must(), text("team", &k.Team).must()})
+}
+
+func readInstance(r *reader, at string, in *fleet.Instance) {
+	r.object(at, []field{
+		text("id", &in.ID).must(), text("zone", &in.Zone).must(), text("rack", &in.Rack), text("address", &in.Address).must(),
+		number("slots", &in.Slots).must(), number("connections", &in.Connections).must(), text("pool", &in.Pool).must(),
+	})
+}
--- a/note/encode.go
+++ b/note/encode.go
@@ -67,5 +67,3 @@
 }
 
 func toStrings[T ~string](in []T) []string { return each(in, func(v T) string { return string(v) }) }
-
-func fromStrings[T ~string](in []string) []T { return each(in, func(v string) T { return T(v) }) }
