Serve the whole administration API, with problem documents

Cause: only notes and status were served, errors had a format of their own, and three faults stood in the way: a note against a version that this process did not have could be appended unchecked when the head moved between the refresh and the compare-and-set; a failed refresh after an accepted note was answered as a failure; a lost answer whose read-back failed half way was answered as 'unavailable' although the write may have taken effect. Ruled out: a server-side resend after a lost answer, since the author can resend the same note with the same effect. Conclusion: each answer says whether the note was accepted, was not, or may have been, and what to do.

--- a/cmd/citronknot/main.go
+++ b/cmd/citronknot/main.go
@@ -91,7 +91,7 @@
 
 func exitCode(err error) int {
 	var fe *flags.Error
-	var se *operator.StatusError
+	var se *operator.Problem
 	switch {
 	case err == nil:
 		return exitDone
--- a/entry/process.go
+++ b/entry/process.go
@@ -81,18 +81,13 @@
 	s := &operator.Server{
 		Credential: p.settings.Credential,
 		Config:     p.current.Load,
-		Accept: func(ctx context.Context, n fleet.ReleaseNote) (fleet.Version, error) {
-			v, err := l.Accept(ctx, n)
-			if err == nil {
-				err = p.follower.Refresh(ctx)
-			}
-			return v, err
-		},
-		Refresh: p.follower.Refresh,
-		Dump:    func() any { return p.Dump() },
-		Ready:   p.ready.Load,
-		Metrics: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
-		Log:     p.log,
+		Accept:     l.Accept,
+		Refresh:    p.follower.Refresh,
+		Notes:      l.Notes,
+		Dump:       func() any { return p.Dump() },
+		Ready:      p.ready.Load,
+		Metrics:    promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		Log:        p.log,
 	}
 	return &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: time.Minute}
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -9,8 +9,6 @@
 	"net/http"
 
 	"github.com/rotisserie/eris"
-
-	"citronknot/fleet"
 )
 
 // Client calls the administration API.
@@ -20,38 +18,24 @@
 	HTTP       *http.Client // nil means http.DefaultClient
 }
 
-// StatusError is an answer of the administration API that is not a success.
-type StatusError struct {
-	Status  int
-	Message string
-	Faults  []fleet.Fault
-	Head    fleet.Version // with a conflict: the newest version
+// UnreachableError reports that a call got no complete answer. A command may have been
+// carried out.
+type UnreachableError struct {
+	URL string
+	Err error
 }
 
-func (e *StatusError) Error() string {
-	return fmt.Sprintf("operator: status %d: %s", e.Status, e.Message)
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("operator: no answer from %s: %v", e.URL, e.Err)
 }
 
-// Accepted says which version a release note became.
-type Accepted struct {
-	Version fleet.Version
-	Note    fleet.NoteID
-}
+func (e *UnreachableError) Unwrap() error { return e.Err }
 
-// Apply sends the text of a release note.
-func (c *Client) Apply(ctx context.Context, text []byte) (Accepted, error) {
-	var out wireAccepted
-	err := c.call(ctx, http.MethodPost, "/v1/notes", text, &out)
-	return Accepted{Version: fleet.Version(out.Version), Note: fleet.NoteID(out.Note)}, err
-}
-
-// Get returns the JSON text of a query, such as /v1/status.
-func (c *Client) Get(ctx context.Context, path string) (json.RawMessage, error) {
-	var out json.RawMessage
-	err := c.call(ctx, http.MethodGet, path, nil, &out)
-	return out, err
-}
+// maxAnswer bounds what is read of one answer: a configuration of the target size stays
+// under 1 MB.
+const maxAnswer = 64 << 20
 
+// call sends one request. It fails with *Problem or *UnreachableError.
 func (c *Client) call(ctx context.Context, method, path string, body []byte, out any) error {
 	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, bytes.NewReader(body))
 	if err != nil {
@@ -64,29 +48,15 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return eris.Wrap(err, "operator: call")
+		return &UnreachableError{URL: c.URL, Err: err}
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
-		return eris.Wrap(err, "operator: answer")
+		return &UnreachableError{URL: c.URL, Err: err}
 	}
 	if resp.StatusCode != http.StatusOK {
-		return decodeError(resp.StatusCode, text)
+		return decodeProblem(resp.StatusCode, text)
 	}
 	return eris.Wrap(json.Unmarshal(text, out), "operator: decode")
 }
-
-func decodeError(status int, text []byte) error {
-	var w wireError
-	e := &StatusError{Status: status}
-	if json.Unmarshal(text, &w) != nil {
-		e.Message = string(text)
-		return e
-	}
-	e.Message, e.Head = w.Error, fleet.Version(w.Head)
-	for _, f := range w.Faults {
-		e.Faults = append(e.Faults, fleet.Fault{Field: f.Field, Value: f.Value, Accepted: f.Accepted})
-	}
-	return e
-}
--- /dev/null
+++ b/operator/client_commands.go
@@ -0,0 +1,73 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"time"
+
+	"citronknot/fleet"
+)
+
+// Accepted says which version a release note became, or would become.
+type Accepted struct {
+	Version fleet.Version
+	Note    fleet.NoteID
+}
+
+// Apply sends the text of a release note once.
+func (c *Client) Apply(ctx context.Context, text []byte) (Accepted, error) {
+	return c.post(ctx, "/v1/notes", text)
+}
+
+// Check sends the text of a release note to be checked only.
+func (c *Client) Check(ctx context.Context, text []byte) (Accepted, error) {
+	return c.post(ctx, "/v1/notes?dry_run=true", text)
+}
+
+func (c *Client) post(ctx context.Context, path string, text []byte) (Accepted, error) {
+	var out WireAccepted
+	err := c.call(ctx, http.MethodPost, path, text, &out)
+	return Accepted{Version: fleet.Version(out.Version), Note: fleet.NoteID(out.Note)}, err
+}
+
+const (
+	resends    = 4
+	resendWait = 200 * time.Millisecond // doubles after each attempt
+)
+
+// ApplyResolved sends a release note, and sends it again while the answer leaves open whether
+// it was accepted. The server answers an accepted note in the same way each time.
+func (c *Client) ApplyResolved(ctx context.Context, text []byte) (Accepted, error) {
+	wait := resendWait
+	for attempt := 1; ; attempt++ {
+		a, err := c.Apply(ctx, text)
+		if attempt == resends || !MaybeAccepted(err) {
+			return a, err
+		}
+		select {
+		case <-ctx.Done():
+			return a, err
+		case <-time.After(wait):
+		}
+		wait *= 2
+	}
+}
+
+// MaybeAccepted reports whether the error of a call leaves open whether a note was accepted.
+func MaybeAccepted(err error) bool {
+	var p *Problem
+	var u *UnreachableError
+	return errors.As(err, &p) && p.MaybeAccepted || errors.As(err, &u)
+}
+
+// SetDrain takes an instance out of service or back into it.
+func (c *Client) SetDrain(ctx context.Context, id fleet.InstanceID, drain bool) error {
+	verb := "return"
+	if drain {
+		verb = "drain"
+	}
+	var out WireDrain
+	return c.call(ctx, http.MethodPost, "/v1/instances/"+url.PathEscape(string(id))+"/"+verb, nil, &out)
+}
--- /dev/null
+++ b/operator/queries.go
@@ -0,0 +1,192 @@
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+
+	"citronknot/fleet"
+	"citronknot/note"
+)
+
+const (
+	pageDefault = 20
+	pageMax     = 100 // rows that one read of the table service is asked for
+	shortHash   = 12
+)
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !s.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (s *Server) getStatus(*http.Request) (any, error) {
+	c := s.Config()
+	return WireStatus{
+		Version: uint64(c.Version), Note: string(c.Note), Pools: len(c.Pools), Queues: len(c.Queues),
+		Teams: len(c.Teams), Keys: len(c.Keys), Instances: len(c.Instances),
+	}, nil
+}
+
+func (s *Server) getState(*http.Request) (any, error) { return s.Dump(), nil }
+
+// getConfig answers with the whole configuration as a release note that adds every object.
+func (s *Server) getConfig(*http.Request) (any, error) {
+	text, err := note.EncodeConfig(s.Config())
+	return json.RawMessage(text), err
+}
+
+// getNotes answers a page of the history. Parameter before is a version, exclusive; limit is
+// the length of the page.
+func (s *Server) getNotes(r *http.Request) (any, error) {
+	q := r.URL.Query()
+	newest := s.Config().Version
+	limit, err := parseNumber(q, "limit", pageDefault, 1, pageMax)
+	if err != nil {
+		return nil, err
+	}
+	before, err := parseNumber(q, "before", uint64(newest)+1, 1, 1<<63)
+	if err != nil {
+		return nil, err
+	}
+	to := min(newest, fleet.Version(before-1))
+	from := to - min(to, fleet.Version(limit))
+	out := WireHistory{Notes: []WireSummary{}}
+	if from == to {
+		return out, nil
+	}
+	notes, err := s.Notes(r.Context(), from, to)
+	if err != nil {
+		return nil, err
+	}
+	for _, n := range slices.Backward(notes) {
+		out.Notes = append(out.Notes, summary(n))
+	}
+	if from > 0 {
+		out.Next = uint64(from) + 1
+	}
+	return out, nil
+}
+
+func summary(n fleet.ReleaseNote) WireSummary {
+	count := func(it fleet.Items) int {
+		return len(it.Pools) + len(it.Queues) + len(it.Teams) + len(it.Keys) + len(it.Instances)
+	}
+	w := n.Withdrawn
+	return WireSummary{
+		Version: uint64(n.Base) + 1, Note: string(n.ID), Added: count(n.Added), Changed: count(n.Changed),
+		Withdrawn: len(w.Pools) + len(w.Queues) + len(w.Teams) + len(w.Keys) + len(w.Instances),
+	}
+}
+
+func parseNumber(q url.Values, name string, otherwise, low, high uint64) (uint64, error) {
+	text := q.Get(name)
+	if text == "" {
+		return otherwise, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || n < low || n > high {
+		return 0, invalid(name, text, fmt.Sprintf("%d to %d", low, high))
+	}
+	return n, nil
+}
+
+func (s *Server) getNote(r *http.Request) (any, error) {
+	text := r.PathValue("version")
+	v, err := strconv.ParseUint(text, 10, 63)
+	if err != nil {
+		return nil, invalid("version", text, "a version number")
+	}
+	if v == 0 || fleet.Version(v) > s.Config().Version {
+		return nil, notFound("version", text)
+	}
+	notes, err := s.Notes(r.Context(), fleet.Version(v)-1, fleet.Version(v))
+	if err != nil {
+		return nil, err
+	}
+	encoded, err := note.Encode(notes[0])
+	return WireNote{Version: v, Note: encoded}, err
+}
+
+func (s *Server) getPools(*http.Request) (any, error) {
+	c := s.Config()
+	pools := make(map[fleet.PoolID]*WirePool, len(c.Pools))
+	out := WirePools{Pools: make([]WirePool, 0, len(c.Pools))}
+	for _, p := range inOrder(c.Pools) {
+		out.Pools = append(out.Pools, WirePool{
+			ID: string(p.ID), Spare: p.Spare, MaxAbsent: p.MaxAbsent, EveryMS: int64(p.Maintenance.Every),
+			DrainBoundMS: int64(p.Maintenance.DrainBound), Queues: []string{},
+		})
+		pools[p.ID] = &out.Pools[len(out.Pools)-1]
+	}
+	for _, q := range inOrder(c.Queues) {
+		if p := pools[q.Pool]; p != nil {
+			p.Queues = append(p.Queues, string(q.ID))
+		}
+	}
+	for _, in := range c.Instances {
+		if p := pools[s.placement(in).Pool]; p != nil {
+			p.Instances++
+			p.Slots += int(in.Slots)
+		}
+	}
+	return out, nil
+}
+
+func (s *Server) getTeams(*http.Request) (any, error) {
+	c := s.Config()
+	keys := make(map[fleet.TeamID]int, len(c.Teams))
+	for _, k := range c.Keys {
+		keys[k.Team]++
+	}
+	out := WireTeams{Teams: make([]WireTeam, 0, len(c.Teams))}
+	for _, t := range inOrder(c.Teams) {
+		out.Teams = append(out.Teams, WireTeam{
+			ID: string(t.ID), Share: int(t.Share), Limit: int(t.Limit), MaxStalenessMS: int64(t.MaxStaleness), Keys: keys[t.ID],
+		})
+	}
+	return out, nil
+}
+
+func (s *Server) getKeys(*http.Request) (any, error) {
+	c := s.Config()
+	out := WireKeys{Keys: make([]WireKey, 0, len(c.Keys))}
+	for _, k := range inOrder(c.Keys) {
+		out.Keys = append(out.Keys, WireKey{Hash: string(k.Hash)[:min(shortHash, len(k.Hash))], Team: string(k.Team)})
+	}
+	return out, nil
+}
+
+func (s *Server) getInstances(*http.Request) (any, error) {
+	c := s.Config()
+	out := WireInstances{Instances: make([]WireInstance, 0, len(c.Instances))}
+	for _, in := range inOrder(c.Instances) {
+		at := s.placement(in)
+		out.Instances = append(out.Instances, WireInstance{
+			ID: string(in.ID), Zone: string(in.Zone), Rack: string(in.Rack), Address: in.Address, Slots: int(in.Slots),
+			Connections: in.Connections, Pool: string(at.Pool), Phase: string(at.Phase),
+		})
+	}
+	return out, nil
+}
+
+func (s *Server) placement(in fleet.Instance) fleet.Placement {
+	if s.Placement == nil {
+		return fleet.Placement{Pool: in.Pool, Phase: fleet.Serving}
+	}
+	return s.Placement(in)
+}
+
+// inOrder returns the values of m in the order of their ids.
+func inOrder[K ~string, V any](m map[K]V) []V {
+	out := make([]V, 0, len(m))
+	for _, id := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, m[id])
+	}
+	return out
+}
--- a/operator/server.go
+++ b/operator/server.go
@@ -5,19 +5,18 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
-	"errors"
-	"io"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"strings"
+	"time"
 
 	"citronknot/fleet"
-	"citronknot/note"
-	"citronknot/platform"
 )
 
-// maxNote bounds the text of a release note: a note that adds 910 instances stays under 1 MB.
-const maxNote = 4 << 20
+// callBound bounds the work on one command or query: a refresh, an accept with its read-back
+// and another refresh stay below it while the platform answers.
+const callBound = 10 * time.Second
 
 // Server serves the administration API.
 type Server struct {
@@ -27,11 +26,17 @@
 	Accept func(context.Context, fleet.ReleaseNote) (fleet.Version, error)
 	// Refresh reads the log up to its head, so that a note is checked against the newest version.
 	Refresh func(context.Context) error
+	// Notes reads the accepted notes of the versions after from up to and including to.
+	Notes func(ctx context.Context, from, to fleet.Version) ([]fleet.ReleaseNote, error)
+	// Placement returns the pool and phase in force; nil means those of the configuration.
+	Placement func(fleet.Instance) fleet.Placement
+	// SetDrain takes an instance out of service or back into it; nil answers 501.
+	SetDrain func(ctx context.Context, id fleet.InstanceID, drain bool) error
 	// Dump returns the state of the process, with secrets masked.
 	Dump func() any
 	// Ready reports whether the balancer should send requests here.
 	Ready   func() bool
-	Metrics http.Handler
+	Metrics http.Handler // nil answers 404
 	Log     *slog.Logger
 }
 
@@ -40,101 +45,101 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.readyz)
-	mux.Handle("GET /metrics", s.guard(s.Metrics.ServeHTTP))
-	mux.Handle("POST /v1/notes", s.guard(s.postNote))
-	mux.Handle("GET /v1/status", s.guard(s.getStatus))
-	mux.Handle("GET /debug/state", s.guard(s.getState))
-	return mux
+	if s.Metrics != nil {
+		mux.Handle("GET /metrics", s.guard(s.Metrics))
+	}
+	for pattern, h := range map[string]handler{
+		"POST /v1/notes":                 s.postNote,
+		"POST /v1/instances/{id}/drain":  s.postDrain(true),
+		"POST /v1/instances/{id}/return": s.postDrain(false),
+		"GET /v1/notes":                  s.getNotes,
+		"GET /v1/notes/{version}":        s.getNote,
+		"GET /v1/config":                 s.getConfig,
+		"GET /v1/status":                 s.getStatus,
+		"GET /v1/pools":                  s.getPools,
+		"GET /v1/teams":                  s.getTeams,
+		"GET /v1/keys":                   s.getKeys,
+		"GET /v1/instances":              s.getInstances,
+		"GET /debug/state":               s.getState,
+	} {
+		mux.Handle(pattern, s.guard(s.serve(h)))
+	}
+	return withProblems(mux)
+}
+
+// handler answers a command or a query.
+type handler func(*http.Request) (any, error)
+
+func (s *Server) serve(h handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), callBound)
+		defer cancel()
+		answer, err := h(r.WithContext(ctx))
+		if err == nil {
+			writeJSON(w, http.StatusOK, contentJSON, answer)
+			return
+		}
+		p := problemOf(err)
+		if p.Status >= http.StatusInternalServerError {
+			s.Log.Warn("operator: call failed", "method", r.Method, "path", r.URL.Path, "err", err)
+		}
+		writeProblem(w, p)
+	})
 }
 
 // guard lets only holders of the credential through. Hashes are compared, so that the time
 // taken tells nothing of the credential's length.
-func (s *Server) guard(next http.HandlerFunc) http.Handler {
+func (s *Server) guard(next http.Handler) http.Handler {
 	want := sha256.Sum256([]byte(s.Credential))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		secret, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		secret, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		got := sha256.Sum256([]byte(secret))
-		if s.Credential == "" || subtle.ConstantTimeCompare(want[:], got[:]) != 1 {
-			writeError(w, http.StatusUnauthorized, wireError{Error: "operator: credential missing or wrong"})
+		if s.Credential == "" || !bearer || subtle.ConstantTimeCompare(want[:], got[:]) != 1 {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			writeProblem(w, &Problem{Status: http.StatusUnauthorized, Title: "unauthorized", Detail: "the credential is missing or wrong"})
 			return
 		}
-		next(w, r)
+		next.ServeHTTP(w, r)
 	})
 }
 
-// postNote accepts a release note.
-func (s *Server) postNote(w http.ResponseWriter, r *http.Request) {
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxNote))
-	if err != nil {
-		writeError(w, http.StatusRequestEntityTooLarge, wireError{Error: "operator: release note longer than 4 MB"})
-		return
-	}
-	n, err := note.Decode(text)
-	if err != nil {
-		s.fail(w, err)
-		return
-	}
-	if err := s.Refresh(r.Context()); err != nil {
-		s.fail(w, err)
-		return
-	}
-	if c := s.Config(); c.Version == n.Base {
-		if _, err := c.Merge(n); err != nil {
-			s.fail(w, err)
+// withProblems answers paths and methods that mux does not know with problem documents.
+func withProblems(mux *http.ServeMux) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h, pattern := mux.Handler(r)
+		if pattern != "" {
+			mux.ServeHTTP(w, r)
 			return
 		}
-	}
-	v, err := s.Accept(r.Context(), n)
-	if err != nil {
-		s.fail(w, err)
-		return
-	}
-	s.Log.Info("operator: release note accepted", "note", n.ID, "version", v)
-	writeJSON(w, http.StatusOK, wireAccepted{Version: uint64(v), Note: string(n.ID)})
-}
-
-func (s *Server) fail(w http.ResponseWriter, err error) {
-	var faults *fleet.NoteError
-	var stale *platform.StaleBaseError
-	var down *platform.UnavailableError
-	switch {
-	case errors.As(err, &faults):
-		out := wireError{Error: err.Error()}
-		for _, f := range faults.Faults {
-			out.Faults = append(out.Faults, wireFault{Field: f.Field, Value: f.Value, Accepted: f.Accepted})
+		probe := &statusProbe{header: http.Header{}}
+		h.ServeHTTP(probe, r)
+		if allow := probe.header.Get("Allow"); probe.status == http.StatusMethodNotAllowed {
+			w.Header().Set("Allow", allow)
+			writeProblem(w, &Problem{
+				Status: probe.status, Title: "method not allowed", Detail: fmt.Sprintf("%s takes %s", r.URL.Path, allow),
+			})
+			return
 		}
-		writeError(w, http.StatusBadRequest, out)
-	case errors.As(err, &stale):
-		writeError(w, http.StatusConflict, wireError{Error: stale.Error(), Head: uint64(stale.Head.Version)})
-	case errors.As(err, &down):
-		writeError(w, http.StatusServiceUnavailable, wireError{Error: down.Error()})
-	default:
-		writeError(w, http.StatusBadRequest, wireError{Error: err.Error()})
-	}
-}
-
-func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
-	if !s.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
-func (s *Server) getStatus(w http.ResponseWriter, _ *http.Request) {
-	c := s.Config()
-	writeJSON(w, http.StatusOK, wireStatus{
-		Version: uint64(c.Version), Note: string(c.Note), Pools: len(c.Pools), Queues: len(c.Queues),
-		Teams: len(c.Teams), Keys: len(c.Keys), Instances: len(c.Instances),
+		writeProblem(w, notFound("path", r.URL.Path))
 	})
 }
 
-func (s *Server) getState(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, s.Dump())
+// statusProbe records the status and header of the mux's own error answers.
+type statusProbe struct {
+	header http.Header
+	status int
 }
 
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
+func (p *statusProbe) Header() http.Header            { return p.header }
+func (p *statusProbe) WriteHeader(status int)         { p.status = status }
+func (p *statusProbe) Write(text []byte) (int, error) { return len(text), nil }
+
+func writeJSON(w http.ResponseWriter, status int, content string, v any) {
+	w.Header().Set("Content-Type", content)
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-func writeError(w http.ResponseWriter, status int, e wireError) { writeJSON(w, status, e) }
+func writeProblem(w http.ResponseWriter, p *Problem) {
+	writeJSON(w, p.Status, contentProblem, encodeProblem(p))
+}
--- a/operator/wire.go
+++ b/operator/wire.go
@@ -1,28 +1,167 @@
 package operator
 
-type wireAccepted struct {
+import (
+	"encoding/json"
+
+	"citronknot/fleet"
+	"citronknot/note"
+)
+
+const (
+	contentJSON    = "application/json"
+	contentProblem = "application/problem+json"
+)
+
+// WireAccepted answers POST /v1/notes.
+type WireAccepted struct {
 	Version uint64 `json:"version"`
 	Note    string `json:"note"`
+	DryRun  bool   `json:"dry_run,omitempty"`
+}
+
+// WireStatus answers GET /v1/status.
+type WireStatus struct {
+	Version   uint64 `json:"version"`
+	Note      string `json:"note"`
+	Pools     int    `json:"pools"`
+	Queues    int    `json:"queues"`
+	Teams     int    `json:"teams"`
+	Keys      int    `json:"keys"`
+	Instances int    `json:"instances"`
+}
+
+// WireHistory answers GET /v1/notes, newest first.
+type WireHistory struct {
+	Notes []WireSummary `json:"notes"`
+	Next  uint64        `json:"next,omitempty"` // value of before for the next page; absent on the last
+}
+
+// WireSummary is one accepted release note, with the number of objects it names.
+type WireSummary struct {
+	Version   uint64 `json:"version"`
+	Note      string `json:"note"`
+	Added     int    `json:"added"`
+	Changed   int    `json:"changed"`
+	Withdrawn int    `json:"withdrawn"`
+}
+
+// WireNote answers GET /v1/notes/{version}.
+type WireNote struct {
+	Version uint64          `json:"version"`
+	Note    json.RawMessage `json:"note"`
+}
+
+// WirePool is an entry of GET /v1/pools.
+type WirePool struct {
+	ID           string   `json:"id"`
+	Spare        bool     `json:"spare"`
+	MaxAbsent    int      `json:"max_absent"`
+	EveryMS      int64    `json:"maintenance_every_ms"`
+	DrainBoundMS int64    `json:"drain_bound_ms"`
+	Queues       []string `json:"queues"`
+	Instances    int      `json:"instances"`
+	Slots        int      `json:"slots"`
+}
+
+// WirePools answers GET /v1/pools.
+type WirePools struct {
+	Pools []WirePool `json:"pools"`
+}
+
+// WireTeam is an entry of GET /v1/teams.
+type WireTeam struct {
+	ID             string `json:"id"`
+	Share          int    `json:"share"`
+	Limit          int    `json:"limit"`
+	MaxStalenessMS int64  `json:"max_staleness_ms"`
+	Keys           int    `json:"keys"`
+}
+
+// WireTeams answers GET /v1/teams.
+type WireTeams struct {
+	Teams []WireTeam `json:"teams"`
+}
+
+// WireKey is an entry of GET /v1/keys. The hash is shortened to its first 12 digits.
+type WireKey struct {
+	Hash string `json:"hash"`
+	Team string `json:"team"`
+}
+
+// WireKeys answers GET /v1/keys.
+type WireKeys struct {
+	Keys []WireKey `json:"keys"`
+}
+
+// WireInstance is an entry of GET /v1/instances. Pool and phase are those in force.
+type WireInstance struct {
+	ID          string `json:"id"`
+	Zone        string `json:"zone"`
+	Rack        string `json:"rack"`
+	Address     string `json:"address"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	Pool        string `json:"pool"`
+	Phase       string `json:"phase"`
+}
+
+// WireInstances answers GET /v1/instances.
+type WireInstances struct {
+	Instances []WireInstance `json:"instances"`
+}
+
+// WireDrain answers POST /v1/instances/{id}/drain and /return.
+type WireDrain struct {
+	Instance string `json:"instance"`
+	Drain    bool   `json:"drain"`
 }
 
 type wireFault struct {
 	Field    string `json:"field"`
 	Value    string `json:"value"`
 	Accepted string `json:"accepted"`
+	Line     int    `json:"line,omitempty"`
+	Column   int    `json:"column,omitempty"`
 }
 
-type wireError struct {
-	Error  string      `json:"error"`
-	Faults []wireFault `json:"faults,omitempty"`
-	Head   uint64      `json:"head,omitempty"`
+// wireProblem names the first fault also at the top, as callers' problems do.
+type wireProblem struct {
+	Type          string      `json:"type"`
+	Title         string      `json:"title"`
+	Status        int         `json:"status"`
+	Detail        string      `json:"detail"`
+	Field         string      `json:"field,omitempty"`
+	Accepted      string      `json:"accepted,omitempty"`
+	Faults        []wireFault `json:"faults,omitempty"`
+	Head          uint64      `json:"head,omitempty"`
+	MaybeAccepted bool        `json:"maybe_accepted,omitempty"`
 }
 
-type wireStatus struct {
-	Version   uint64 `json:"version"`
-	Note      string `json:"note"`
-	Pools     int    `json:"pools"`
-	Queues    int    `json:"queues"`
-	Teams     int    `json:"teams"`
-	Keys      int    `json:"keys"`
-	Instances int    `json:"instances"`
+func encodeProblem(p *Problem) wireProblem {
+	w := wireProblem{
+		Type: "about:blank", Title: p.Title, Status: p.Status, Detail: p.Detail, Head: uint64(p.Head), MaybeAccepted: p.MaybeAccepted,
+	}
+	for i, f := range p.Faults {
+		if i == 0 {
+			w.Field, w.Accepted = f.Field, f.Accepted
+		}
+		w.Faults = append(w.Faults, wireFault{Field: f.Field, Value: f.Value, Accepted: f.Accepted, Line: f.Line, Column: f.Column})
+	}
+	return w
+}
+
+func decodeProblem(status int, text []byte) *Problem {
+	var w wireProblem
+	if json.Unmarshal(text, &w) != nil || w.Title == "" {
+		const longest = 200
+		return &Problem{Status: status, Title: "unexpected answer", Detail: string(text[:min(len(text), longest)])}
+	}
+	p := &Problem{Status: status, Title: w.Title, Detail: w.Detail, Head: fleet.Version(w.Head), MaybeAccepted: w.MaybeAccepted}
+	for _, f := range w.Faults {
+		p.Faults = append(p.Faults, note.Fault{
+			Position: note.Position{Line: f.Line, Column: f.Column},
+			Fault:    fleet.Fault{Field: f.Field, Value: f.Value, Accepted: f.Accepted},
+		})
+	}
+	return p
 }
