Give operators the whole command line

Cause: only apply, status and dump existed; a lost answer ended apply, and keys could only be granted by hand. Ruled out: a new note for each repeat after a lost answer, which could be accepted twice; taking the answer to a repeat for the outcome of the note, since 'not accepted, the store is down' only speaks of that attempt. Change: check (offline or by dry run), diff, apply that resends the same note, status, config, history, pools, teams, keys list|grant|withdraw, instances list|drain|return, dump; text or JSON; exit codes 0 to 4; an example in each help. Client.ApplyResolved returns *UnknownOutcomeError while no answer settles the note. Conclusion: scripts can tell done, invalid, conflict, unreachable and unknown apart.

--- /dev/null
+++ b/cmd/citronknot/app.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"citronknot/operator"
+)
+
+// app holds the options that all commands share, and where they read and write.
+type app struct {
+	URL            string         `long:"url" env:"CITRONKNOT_URL" default:"http://127.0.0.1:8081" description:"base URL of an administration API"`
+	Credential     string         `long:"credential" env:"CITRONKNOT_OPERATOR_CREDENTIAL" default-mask:"-" description:"bearer credential of operators"`
+	CredentialFile flags.Filename `long:"credential-file" env:"CITRONKNOT_OPERATOR_CREDENTIAL_FILE" description:"file with the credential, in place of --credential"`
+	Timeout        time.Duration  `long:"timeout" env:"CITRONKNOT_TIMEOUT" default:"30s" description:"longest time of a command, with its repeats"`
+	Output         string         `long:"output" env:"CITRONKNOT_OUTPUT" default:"text" choice:"text" choice:"json" description:"format of results and errors"`
+
+	stdin  io.Reader
+	stdout io.Writer
+	stderr io.Writer
+	file   string // the release note that faults are reported for
+}
+
+// run executes one command and returns its exit code.
+func run(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	a := &app{stdin: stdin, stdout: stdout, stderr: stderr}
+	err := a.execute(args)
+	a.report(err)
+	return exitCode(err)
+}
+
+// execute parses the arguments and runs the command. Every error before the command starts is
+// one of usage; go-flags reports some of them with errors of other packages.
+func (a *app) execute(args []string) error {
+	p, err := a.parser()
+	if err != nil {
+		return err
+	}
+	started := false
+	p.CommandHandler = func(c flags.Commander, rest []string) error {
+		if c == nil {
+			return nil
+		}
+		started = true
+		if len(rest) > 0 {
+			return &usageError{fmt.Sprintf("unexpected arguments: %s", strings.Join(rest, " "))}
+		}
+		return c.Execute(rest)
+	}
+	_, err = p.ParseArgs(args)
+	var parse *flags.Error
+	if err == nil || started || errors.As(err, &parse) {
+		return err
+	}
+	return &usageError{err.Error()}
+}
+
+// parser returns the parser of all commands. The long text of each ends with an example.
+func (a *app) parser() (*flags.Parser, error) {
+	p := flags.NewNamedParser("citronknot", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := p.AddGroup("Options", "", a); err != nil {
+		return nil, err
+	}
+	var failed error
+	add := func(to *flags.Command, name, short, example string, command any) *flags.Command {
+		long := short + "."
+		if example != "" {
+			long += "\n\nExample: " + example
+		}
+		c, err := to.AddCommand(name, short, long, command)
+		if err != nil {
+			failed = err
+		}
+		return c
+	}
+	root := p.Command
+	add(root, "check", "Check a release note without applying it", "citronknot check add-team.json", &checkCommand{app: a})
+	add(root, "diff", "Show what a release note changes", "citronknot diff add-team.json", &diffCommand{app: a})
+	add(root, "apply", "Apply a release note", "citronknot apply add-team.json", &applyCommand{app: a})
+	add(root, "status", "Show the version in force", "citronknot status", &statusCommand{app: a})
+	add(root, "config", "Print the whole configuration, for check --config", "citronknot config > current.json", &configCommand{app: a})
+	add(root, "history", "List accepted release notes, or print one", "citronknot history 7", &historyCommand{app: a})
+	add(root, "pools", "List pools", "citronknot pools", &poolsCommand{app: a})
+	add(root, "teams", "List teams", "citronknot teams", &teamsCommand{app: a})
+	keys := add(root, "keys", "List, grant and withdraw keys", "citronknot keys list", &struct{}{})
+	add(keys, "list", "List keys by shortened hash", "citronknot keys list", &keysListCommand{app: a})
+	add(keys, "grant", "Make a key for a team and print it once", "citronknot keys grant alpha", &keysGrantCommand{app: a})
+	add(keys, "withdraw", "Withdraw a key, by hash prefix or by the key on standard input",
+		"citronknot keys withdraw 20ac218dec4c", &keysWithdrawCommand{app: a})
+	instances := add(root, "instances", "List, drain and return instances", "citronknot instances list", &struct{}{})
+	add(instances, "list", "List instances with pool and phase", "citronknot instances list", &instancesListCommand{app: a})
+	add(instances, "drain", "Take an instance out of service", "citronknot instances drain t1", &drainCommand{app: a, drain: true})
+	add(instances, "return", "Return an instance to service", "citronknot instances return t1", &drainCommand{app: a})
+	add(root, "dump", "Show the state of one process", "citronknot dump", &dumpCommand{app: a})
+	return p, failed
+}
+
+// client returns a client and the context of the whole command.
+func (a *app) client() (*operator.Client, context.Context, context.CancelFunc, error) {
+	credential := a.Credential
+	if a.CredentialFile != "" {
+		text, err := os.ReadFile(string(a.CredentialFile))
+		if err != nil {
+			return nil, nil, nil, &usageError{err.Error()}
+		}
+		credential = strings.TrimSpace(string(text))
+	}
+	if credential == "" {
+		return nil, nil, nil, &usageError{"no credential: set CITRONKNOT_OPERATOR_CREDENTIAL, --credential-file or --credential"}
+	}
+	if a.Timeout <= 0 || a.Timeout > time.Hour {
+		return nil, nil, nil, &usageError{fmt.Sprintf("--timeout %q is not accepted; accepted: more than 0s, up to 1h", a.Timeout)}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), a.Timeout)
+	return &operator.Client{URL: strings.TrimSuffix(a.URL, "/"), Credential: credential}, ctx, cancel, nil
+}
--- /dev/null
+++ b/cmd/citronknot/export_test.go
@@ -0,0 +1,4 @@
+package main
+
+// Run gives tests the whole command line.
+var Run = run
--- a/operator/client.go
+++ b/operator/client.go
@@ -4,9 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 )
@@ -18,25 +19,16 @@
 	HTTP       *http.Client // nil means http.DefaultClient
 }
 
-// UnreachableError reports that a call got no complete answer. A command may have been
-// carried out.
-type UnreachableError struct {
-	URL string
-	Err error
-}
-
-func (e *UnreachableError) Error() string {
-	return fmt.Sprintf("operator: no answer from %s: %v", e.URL, e.Err)
-}
-
-func (e *UnreachableError) Unwrap() error { return e.Err }
-
 // maxAnswer bounds what is read of one answer: a configuration of the target size stays
 // under 1 MB.
 const maxAnswer = 64 << 20
 
 // call sends one request. It fails with *Problem or *UnreachableError.
 func (c *Client) call(ctx context.Context, method, path string, body []byte, out any) error {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, bytes.NewReader(body))
 	if err != nil {
 		return eris.Wrap(err, "operator: request")
@@ -48,12 +40,12 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return &UnreachableError{URL: c.URL, Err: err}
+		return &UnreachableError{URL: c.URL, Maybe: connected.Load(), Err: err}
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
-		return &UnreachableError{URL: c.URL, Err: err}
+		return &UnreachableError{URL: c.URL, Maybe: true, Err: err}
 	}
 	if resp.StatusCode != http.StatusOK {
 		return decodeProblem(resp.StatusCode, text)
--- a/operator/client_commands.go
+++ b/operator/client_commands.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/url"
 	"time"
@@ -37,31 +36,31 @@
 	resendWait = 200 * time.Millisecond // doubles after each attempt
 )
 
-// ApplyResolved sends a release note, and sends it again while the answer leaves open whether
-// it was accepted. The server answers an accepted note in the same way each time.
+// ApplyResolved sends a release note, and sends it again while it is open whether it was
+// accepted. The server answers an accepted note in the same way each time. It fails with
+// *UnknownOutcomeError if the repeats did not settle it.
 func (c *Client) ApplyResolved(ctx context.Context, text []byte) (Accepted, error) {
 	wait := resendWait
+	open := false
 	for attempt := 1; ; attempt++ {
 		a, err := c.Apply(ctx, text)
-		if attempt == resends || !MaybeAccepted(err) {
+		// A later "not accepted" only speaks of its own attempt.
+		open = open || maybeAccepted(err)
+		if !open || settled(err) {
 			return a, err
 		}
+		if attempt == resends {
+			return a, &UnknownOutcomeError{Err: err}
+		}
 		select {
 		case <-ctx.Done():
-			return a, err
+			return a, &UnknownOutcomeError{Err: err}
 		case <-time.After(wait):
 		}
 		wait *= 2
 	}
 }
 
-// MaybeAccepted reports whether the error of a call leaves open whether a note was accepted.
-func MaybeAccepted(err error) bool {
-	var p *Problem
-	var u *UnreachableError
-	return errors.As(err, &p) && p.MaybeAccepted || errors.As(err, &u)
-}
-
 // SetDrain takes an instance out of service or back into it.
 func (c *Client) SetDrain(ctx context.Context, id fleet.InstanceID, drain bool) error {
 	verb := "return"
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -156,6 +156,20 @@
 	}
 }
 
+// Guards against a repeat that fails for another reason being taken for the outcome of a note
+// that an earlier attempt left open.
+func TestRepeatsKeepTheOutcomeOpen(t *testing.T) {
+	r := newRig(t)
+	m := r.member(t, nil)
+	r.loseNext.Store(true)
+	_, err := m.ApplyResolved(context.Background(), teamNote(t, "a", 0))
+	var unknown *operator.UnknownOutcomeError
+	must.True(t, errors.As(err, &unknown))
+	must.False(t, problem(t, err).MaybeAccepted)
+	_, err = (&operator.Client{URL: "http://127.0.0.1:1"}).ApplyResolved(context.Background(), nil)
+	must.False(t, errors.As(err, &unknown))
+}
+
 // Guards against a note that certainly was not accepted being reported as unknown.
 func TestStoreDown(t *testing.T) {
 	r := newRig(t)
