Check every setting at start, and serve TLS that reloads its certificates

Cause: listeners without port, ids with spaces and missing peer settings were found late or not at all, and the listeners had no TLS. Ruled out: a file watcher for certificates, which needs a library; the files are looked at with a handshake, at most once a second. Change: settings for the peer listener, its address and credential, the region, certificates of each listener, log format and level, credential files; each checked with an error that names the flag, the value (credentials masked) and what is accepted. CertificateFiles builds a TLS 1.3 configuration. citronknot takes --ca-file. The demo gives each process a peer listener. Mutations seen to fail, then restored: TLS 1.2, no reload (TestCertificateReload); credential in the error, peer address unchecked (TestCheckNamesTheSetting); no mask in the help (TestHelpMasksCredentials). Conclusion: a wrong setting ends the start with its name; the peer listener itself is left to its package.

--- a/cmd/citronknot/app.go
+++ b/cmd/citronknot/app.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"strings"
 	"time"
@@ -19,6 +22,7 @@
 	URL            string         `long:"url" env:"CITRONKNOT_URL" default:"http://127.0.0.1:8081" description:"base URL of an administration API"`
 	Credential     string         `long:"credential" env:"CITRONKNOT_OPERATOR_CREDENTIAL" default-mask:"-" description:"bearer credential of operators"`
 	CredentialFile flags.Filename `long:"credential-file" env:"CITRONKNOT_OPERATOR_CREDENTIAL_FILE" description:"file with the credential, in place of --credential"`
+	CAFile         flags.Filename `long:"ca-file" env:"CITRONKNOT_CA_FILE" description:"PEM certificates to trust for an https URL; default: those of the system"`
 	Timeout        time.Duration  `long:"timeout" env:"CITRONKNOT_TIMEOUT" default:"30s" description:"longest time of a command, with its repeats"`
 	Output         string         `long:"output" env:"CITRONKNOT_OUTPUT" default:"text" choice:"text" choice:"json" description:"format of results and errors"`
 
@@ -118,6 +122,27 @@
 	if a.Timeout <= 0 || a.Timeout > time.Hour {
 		return nil, nil, nil, &usageError{fmt.Sprintf("--timeout %q is not accepted; accepted: more than 0s, up to 1h", a.Timeout)}
 	}
+	transport, err := a.transport()
+	if err != nil {
+		return nil, nil, nil, err
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), a.Timeout)
-	return &operator.Client{URL: strings.TrimSuffix(a.URL, "/"), Credential: credential}, ctx, cancel, nil
+	return &operator.Client{
+		URL: strings.TrimSuffix(a.URL, "/"), Credential: credential, HTTP: &http.Client{Transport: transport},
+	}, ctx, cancel, nil
+}
+
+func (a *app) transport() (*http.Transport, error) {
+	config := &tls.Config{MinVersion: tls.VersionTLS13}
+	if a.CAFile != "" {
+		text, err := os.ReadFile(string(a.CAFile))
+		if err != nil {
+			return nil, &usageError{err.Error()}
+		}
+		config.RootCAs = x509.NewCertPool()
+		if !config.RootCAs.AppendCertsFromPEM(text) {
+			return nil, &usageError{fmt.Sprintf("--ca-file %q is not accepted; accepted: a file with PEM certificates", a.CAFile)}
+		}
+	}
+	return &http.Transport{TLSClientConfig: config}, nil
 }
--- a/cmd/citronknotd/main.go
+++ b/cmd/citronknotd/main.go
@@ -22,7 +22,6 @@
 
 // run returns the exit code: 0 after a planned stop, 1 on failure, 2 on invalid settings.
 func run() int {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	var s entry.Settings
 	if _, err := flags.Parse(&s); err != nil {
 		var fe *flags.Error
@@ -31,6 +30,7 @@
 		}
 		return 2
 	}
+	log := s.Logger(os.Stderr)
 	p, err := entry.New(s, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/entry/process.go
+++ b/entry/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"log/slog"
 	"net"
@@ -10,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jessevdk/go-flags"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
@@ -45,9 +47,15 @@
 
 // New returns a process that is not started yet. It fails with *SettingError.
 func New(s Settings, log *slog.Logger) (*Process, error) {
+	if err := s.ReadCredentials(); err != nil {
+		return nil, err
+	}
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
+	if s.PeerAddress == "" {
+		s.PeerAddress = s.PeerAddr
+	}
 	p := &Process{settings: s, log: log}
 	p.client = &platform.Client{URL: s.Platform, Zone: fleet.ZoneID(s.Zone)}
 	configLog := &platform.ConfigLog{Table: p.client.Table()}
@@ -97,13 +105,17 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
 	for _, l := range []struct {
-		server *http.Server
-		addr   string
-	}{{p.callers, p.settings.CallerAddr}, {p.operators, p.settings.OperatorAddr}} {
-		listener, err := net.Listen("tcp", l.addr)
+		server    *http.Server
+		addr      string
+		cert, key flags.Filename
+	}{
+		{p.callers, p.settings.CallerAddr, p.settings.CallerCert, p.settings.CallerKey},
+		{p.operators, p.settings.OperatorAddr, p.settings.OperatorCert, p.settings.OperatorKey},
+	} {
+		listener, err := p.listen(l.addr, l.cert, l.key)
 		if err != nil {
 			cancel()
-			return eris.Wrap(err, "entry: listen")
+			return err
 		}
 		p.goRun(func() {
 			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -118,6 +130,21 @@
 	return nil
 }
 
+// listen opens a listener, with TLS if a certificate is set.
+func (p *Process) listen(addr string, cert, key flags.Filename) (net.Listener, error) {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil || cert == "" {
+		return listener, eris.Wrap(err, "entry: listen")
+	}
+	files := &CertificateFiles{Cert: string(cert), Key: string(key), Clock: p.clock, Log: p.log}
+	config, err := files.Config()
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	return tls.NewListener(listener, config), nil
+}
+
 func (p *Process) goRun(f func()) {
 	p.running.Go(f)
 }
--- a/fleet/merge.go
+++ b/fleet/merge.go
@@ -14,8 +14,8 @@
 	next := *c
 	next.Version, next.Note = c.Version+1, n.ID
 	m := &merge{next: &next}
-	if !validID(string(n.ID)) {
-		m.fault("id", string(n.ID), acceptedID)
+	if !ValidID(string(n.ID)) {
+		m.fault("id", string(n.ID), AcceptedID)
 	}
 	pools := apply(m, "pools", &next.Pools, n.Added.Pools, n.Changed.Pools, n.Withdrawn.Pools, func(p Pool) PoolID { return p.ID })
 	queues := apply(m, "queues", &next.Queues, n.Added.Queues, n.Changed.Queues, n.Withdrawn.Queues, func(q Queue) QueueID { return q.ID })
--- a/fleet/rules.go
+++ b/fleet/rules.go
@@ -15,16 +15,20 @@
 	year                = 365 * day
 )
 
+// AcceptedID says which ids [ValidID] takes.
+const AcceptedID = "1 to 64 characters of a-z, 0-9, '-', '.', '_'"
+
 const (
-	acceptedID       = "1 to 64 characters of a-z, 0-9, '-', '.', '_'"
-	acceptedOptional = "empty, or " + acceptedID
+	acceptedOptional = "empty, or " + AcceptedID
 	acceptedHash     = "64 lowercase hexadecimal digits"
 	acceptedAddress  = "an IP number and a port from 1 to 65535, such as 10.0.0.1:8000"
 	maxIDLength      = 64
 	hashLength       = 64
 )
 
-func validID(s string) bool {
+// ValidID reports whether s can be the id of a pool, queue, team, instance, zone, rack, region,
+// member or release note.
+func ValidID(s string) bool {
 	if s == "" || len(s) > maxIDLength {
 		return false
 	}
@@ -55,8 +59,8 @@
 }
 
 func (m *merge) id(field, value string) {
-	if !validID(value) {
-		m.fault(field, value, acceptedID)
+	if !ValidID(value) {
+		m.fault(field, value, AcceptedID)
 	}
 }
 
@@ -157,7 +161,7 @@
 		in := x.item
 		m.id(x.at+".id", string(in.ID))
 		m.id(x.at+".zone", string(in.Zone))
-		if in.Rack != "" && !validID(string(in.Rack)) {
+		if in.Rack != "" && !ValidID(string(in.Rack)) {
 			m.fault(x.at+".rack", string(in.Rack), acceptedOptional)
 		}
 		if !validAddress(in.Address) {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -24,7 +24,7 @@
 for m in a b; do
   n=$([ "$m" = a ] && echo 1 || echo 2)
   bin/citronknotd --member "entry-$m" --zone "zone-$m" --members 2 \
-    --caller-listen "127.0.0.1:1720$n" --operator-listen "127.0.0.1:1730$n" \
+    --caller-listen "127.0.0.1:1720$n" --operator-listen "127.0.0.1:1730$n" --peer-listen "127.0.0.1:1740$n" \
     2>"out/demo/citronknotd-$m.log" & pids+=($!)
 done
 stop_pid=${pids[-1]}
