Report faults in the order of the text, and say what became of a drain

Cause: faults of one file were listed by kind, so line 7 came before line 6; a drain whose answer was lost was reported as a release note; the check for duplicate addresses built a map of all instances. Ruled out: ordering in Merge, which has no text. Change: note.Positions.Locate, used by server and command line; the drain's own detail; only addresses of the note are looked up; request headers of the operators' listener are bounded to 16 KB. Mutations seen to fail, then restored: other addresses looked up, address of the note itself not kept (TestMergeNamesTheFault); text order dropped (TestDocumentedCommands); drain reported as before (TestDrainAndReturn). Conclusion: reports follow the file, and one more command says how to find out its outcome.

--- a/cmd/citronknot/errors.go
+++ b/cmd/citronknot/errors.go
@@ -130,9 +130,5 @@
 	if !errors.As(err, &ne) {
 		return err
 	}
-	e := &noteFaults{}
-	for _, f := range ne.Faults {
-		e.faults = append(e.faults, note.Fault{Position: positions.Of(f.Field), Fault: f})
-	}
-	return e
+	return &noteFaults{faults: positions.Locate(ne.Faults)}
 }
--- a/cmd/citronknot/main_test.go
+++ b/cmd/citronknot/main_test.go
@@ -106,7 +106,7 @@
 	must.Eq(t, result{0, "release note first has no faults; it would be version 1\n", ""}, c.run("", "check", one))
 	must.Eq(t, result{0, "release note first accepted as version 1\n", ""}, c.run("", "apply", one))
 	must.Eq(t, result{0, "release note first accepted as version 1\n", ""}, c.run("", "apply", one))
-	must.Eq(t, result{0, "+ teams beta limit=1 share=10\n~ teams alpha share: 500 -> 600\n- instances i1\n", ""}, sortedDiff(c.run("", "diff", two)))
+	must.Eq(t, result{0, "~ teams alpha share: 500 -> 600\n+ teams beta limit=1 share=10\n- instances i1\n", ""}, c.run("", "diff", two))
 	must.Eq(t, result{0, "{\"version\":2,\"note\":\"second\",\"dry_run\":true}\n", ""}, c.run("", "--output", "json", "check", two))
 	must.Eq(t, result{0, "release note second accepted as version 2\n", ""}, c.run("", "apply", two))
 	must.Eq(t, 3, c.run("", "apply", c.file("stale.json", strings.Replace(second, "second", "stale", 1))).code)
@@ -118,18 +118,6 @@
 	must.StrContains(t, c.run("", "dump").out, `"member": "m"`)
 }
 
-// sortedDiff puts added lines first; the order of the command is by kind and id.
-func sortedDiff(r result) result {
-	lines := strings.Split(strings.TrimSpace(r.out), "\n")
-	for i, l := range lines {
-		if strings.HasPrefix(l, "+") {
-			lines[0], lines[i] = lines[i], lines[0]
-		}
-	}
-	r.out = strings.Join(lines, "\n") + "\n"
-	return r
-}
-
 // Guards against a fault without its place in the file, and against an offline check that
 // needs a connection.
 func TestCheckOffline(t *testing.T) {
--- a/entry/process.go
+++ b/entry/process.go
@@ -97,7 +97,9 @@
 		Metrics:    promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 		Log:        p.log,
 	}
-	return &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: time.Minute}
+	return &http.Server{
+		Handler: s.Handler(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
+	}
 }
 
 // Start opens the listeners and starts the background work.
--- a/fleet/merge_test.go
+++ b/fleet/merge_test.go
@@ -104,6 +104,7 @@
 		{"port 0", addedInstance(func(in *fleet.Instance) { in.Address = "10.0.0.9:0" }), "added.instances[0].address", "an IP number"},
 		{"address not canonical", addedInstance(func(in *fleet.Instance) { in.Address = "[0:0::1]:80" }), "added.instances[0].address", "an IP number"},
 		{"address of another", addedInstance(func(in *fleet.Instance) { in.Address = "10.0.0.1:80" }), "added.instances[0].address", "i has it"},
+		{"address twice in the note", added(fleet.Items{Instances: []fleet.Instance{instance("x", "a", 2), instance("y", "a", 2)}}), "added.instances[1].address", "x has it"},
 		{"slots 0", addedInstance(func(in *fleet.Instance) { in.Slots = 0 }), "added.instances[0].slots", "1 to 10000"},
 		{"connections", addedInstance(func(in *fleet.Instance) { in.Connections = 100_001 }), "added.instances[0].connections", "1 to 100000"},
 		{"instance without pool", addedInstance(func(in *fleet.Instance) { in.Pool = "none" }), "added.instances[0].pool", "the id of a pool"},
--- a/fleet/rules.go
+++ b/fleet/rules.go
@@ -151,12 +151,7 @@
 	if len(t.put) == 0 {
 		return
 	}
-	addresses := make(map[string]InstanceID, len(m.next.Instances))
-	for id, in := range m.next.Instances {
-		if _, named := t.paths[id]; !named {
-			addresses[in.Address] = id
-		}
-	}
+	addresses := m.addressesInUse(t)
 	for _, x := range t.put {
 		in := x.item
 		m.id(x.at+".id", string(in.ID))
@@ -176,6 +171,23 @@
 	}
 }
 
+// addressesInUse returns the owners of those addresses of the note that instances outside it
+// have. It holds no other address, because copying all of them costs more than the rest of
+// the check.
+func (m *merge) addressesInUse(t touched[InstanceID, Instance]) map[string]InstanceID {
+	asked := make(map[string]bool, len(t.put))
+	for _, x := range t.put {
+		asked[x.item.Address] = true
+	}
+	owners := make(map[string]InstanceID, len(t.put))
+	for id, in := range m.next.Instances {
+		if _, named := t.paths[id]; !named && asked[in.Address] {
+			owners[in.Address] = id
+		}
+	}
+	return owners
+}
+
 func (m *merge) refersToPool(field string, id PoolID) {
 	if _, ok := m.next.Pools[id]; !ok {
 		m.fault(field, string(id), "the id of a pool")
--- a/note/errors.go
+++ b/note/errors.go
@@ -1,7 +1,9 @@
 package note
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 
 	"citronknot/fleet"
@@ -61,6 +63,18 @@
 	}
 }
 
+// Locate returns faults of a note with their positions, in the order of the text.
+func (p Positions) Locate(faults []fleet.Fault) []Fault {
+	located := make([]Fault, len(faults))
+	for i, f := range faults {
+		located[i] = Fault{Position: p.Of(f.Field), Fault: f}
+	}
+	slices.SortStableFunc(located, func(a, b Fault) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+	return located
+}
+
 func positionOf(text []byte, offset int) Position {
 	before := string(text[:min(offset, len(text))])
 	return Position{Line: 1 + strings.Count(before, "\n"), Column: len(before) - strings.LastIndex(before, "\n")}
--- a/operator/commands.go
+++ b/operator/commands.go
@@ -140,7 +140,7 @@
 			return nil, &Problem{Status: http.StatusNotImplemented, Title: "not implemented", Detail: "this process does not drain instances"}
 		}
 		if err := s.SetDrain(r.Context(), id, drain); err != nil {
-			return nil, err
+			return nil, problemOfDrain(err)
 		}
 		s.Log.Info("operator: drain set", "instance", id, "drain", drain)
 		return WireDrain{Instance: string(id), Drain: drain}, nil
--- a/operator/problem.go
+++ b/operator/problem.go
@@ -18,7 +18,7 @@
 	Detail        string
 	Faults        []note.Fault  // what is wrong with the input; line 0 means no position in a text
 	Head          fleet.Version // with a conflict: the newest version
-	MaybeAccepted bool          // the release note may have been accepted
+	MaybeAccepted bool          // the command may have been carried out
 }
 
 func (p *Problem) Error() string {
@@ -70,11 +70,9 @@
 func problemOfNote(n fleet.ReleaseNote, positions note.Positions, err error) *Problem {
 	var faults *fleet.NoteError
 	if errors.As(err, &faults) {
-		p := &Problem{Status: http.StatusBadRequest, Title: "invalid release note", Detail: faults.Error()}
-		for _, f := range faults.Faults {
-			p.Faults = append(p.Faults, note.Fault{Position: positions.Of(f.Field), Fault: f})
+		return &Problem{
+			Status: http.StatusBadRequest, Title: "invalid release note", Detail: faults.Error(), Faults: positions.Locate(faults.Faults),
 		}
-		return p
 	}
 	p := problemOf(err)
 	switch {
@@ -86,6 +84,16 @@
 	return p
 }
 
+// problemOfDrain is problemOf for a drain or a return, which can be repeated safely.
+func problemOfDrain(err error) *Problem {
+	p := problemOf(err)
+	if p.MaybeAccepted {
+		p.Title = "outcome unknown"
+		p.Detail = "the command may have been carried out; send it again, or look at the phase in GET /v1/instances (" + p.Detail + ")"
+	}
+	return p
+}
+
 func conflictAt(base, head fleet.Version, newest fleet.NoteID) *Problem {
 	return &Problem{
 		Status: http.StatusConflict, Title: "conflict", Head: head,
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -256,10 +256,11 @@
 // mixed up.
 func TestDrainAndReturn(t *testing.T) {
 	var calls []string
+	var failure error
 	m := newRig(t).member(t, func(s *operator.Server) {
 		s.SetDrain = func(_ context.Context, id fleet.InstanceID, drain bool) error {
 			calls = append(calls, fmt.Sprintf("%s %t", id, drain))
-			return nil
+			return failure
 		}
 	})
 	ctx := context.Background()
@@ -269,6 +270,10 @@
 	must.NoError(t, m.SetDrain(ctx, "i1", false))
 	must.Eq(t, http.StatusNotFound, problem(t, m.SetDrain(ctx, "none", true)).Status)
 	must.Eq(t, []string{"i1 true", "i1 false"}, calls)
+	failure = &platform.ConflictError{}
+	must.Eq(t, http.StatusConflict, problem(t, m.SetDrain(ctx, "i1", true)).Status)
+	failure = &platform.UnavailableError{Maybe: true}
+	must.StrContains(t, problem(t, m.SetDrain(ctx, "i1", true)).Detail, "send it again")
 }
 
 const fullNote = `{"schema": 1, "id": "full", "base": 0, "added": {
