Specify the core protocol in Promela and check it with spin

Ruled out: one specification of everything, whose states did not fit in ten minutes; a first escrow model with six row versions and temporaries that were not reset grew past 2.7 GB. Change: five small specifications in spec/, 23 mutants, make model. Conclusion: unanimity of members needs no proof that the store is unreachable; it needs that no accept is in progress.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint fmt
+.PHONY: build demo test lint fmt model
 
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
@@ -19,3 +19,7 @@
 lint:
 	@out=$$($(TOOL) gofumpt -l $$(git ls-files -co --exclude-standard '*.go')); test -z "$$out" || { echo "gofumpt: $$out"; exit 1; }
 	$(TOOL) golangci-lint run ./...
+
+# model checks the specifications in spec/ and shows that each mutant is caught.
+model:
+	scripts/model.sh
