Schedule the requests of a pool by share and deadline

Cause: requests started first come, first served, so a full pool went to whoever sent most, and a cancelled request was found by a scan. Change: caller.Scheduler keeps a bounded queue for each team and queue, orders teams by weighted slot time and requests by deadline, gives urgent requests a quarter of the slots ahead of that, refuses early only on at least 8 run times seen in the last 10 s, and divides the pool among the members from their load summaries. The portions add up to at most the pool's slots.

--- a/caller/problem.go
+++ b/caller/problem.go
@@ -27,6 +27,7 @@
 	Run      Outcome
 	Field    string // for invalid input: the header or path element
 	Accepted string // for invalid input: what is accepted there
+	Reason   string // short name of the cause, for metrics
 }
 
 func (p *Problem) Error() string {
--- a/caller/request.go
+++ b/caller/request.go
@@ -32,6 +32,9 @@
 	IdempotencyKey string
 	Arrived        clock.Millis
 	Deadline       clock.Millis // on the clock of this process
+	FailedStarts   int          // targets on which the request failed before it ran
+
+	ticket ticket
 }
 
 // NewRequestID returns a random id.
--- /dev/null
+++ b/caller/scheduler_test.go
@@ -0,0 +1,270 @@
+package caller_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"citronknot/caller"
+	"citronknot/clock"
+	"citronknot/fleet"
+)
+
+// Guards against requests of a team starting out of deadline order, and against a queue of one
+// team growing without bound or using up the room of another team or queue.
+func TestQueueOrderAndBound(t *testing.T) {
+	c := newCluster(1, 1, unevenShares(2))
+	s := &c.members[0].scheduler
+	late, _ := c.add(0, "t000", fleet.Queue{MaxWaiting: 1000}, 3_000)
+	soon, _ := c.add(0, "t000", fleet.Queue{MaxWaiting: 1000}, 1_000)
+	must.Eq(t, soon, s.Next(c.now))
+	must.Nil(t, s.Next(c.now))
+	s.Done(c.now, soon, caller.Ran)
+	must.Eq(t, late, s.Next(c.now))
+	for range 1000 {
+		_, p := c.add(0, "t000", fleet.Queue{}, 3_000)
+		must.Nil(t, p)
+	}
+	_, p := c.add(0, "t000", fleet.Queue{}, 3_000)
+	must.Eq(t, "queue_full", p.Reason)
+	must.Eq(t, caller.NotRun, p.Run)
+	_, p = c.add(0, "t001", fleet.Queue{}, 3_000)
+	must.Nil(t, p)
+	_, p = c.add(0, "t000", fleet.Queue{Urgent: true}, 3_000)
+	must.Nil(t, p)
+}
+
+// Guards against a wave of cancellations that leaves requests in the queue, where they would
+// take room and turns.
+func TestCancellationWave(t *testing.T) {
+	c := newCluster(1, 4, unevenShares(2))
+	s := &c.members[0].scheduler
+	var wave []*caller.Request
+	for range 1000 {
+		r, _ := c.add(0, "t000", fleet.Queue{}, 5_000)
+		wave = append(wave, r)
+	}
+	other, _ := c.add(0, "t001", fleet.Queue{}, 9_000)
+	for _, r := range wave {
+		must.True(t, s.Remove(r))
+		must.False(t, s.Remove(r))
+	}
+	must.Eq(t, 1, s.Waiting())
+	must.Eq(t, other, s.Next(c.now))
+	_, p := c.add(0, "t000", fleet.Queue{}, 5_000)
+	must.Nil(t, p)
+}
+
+// Guards against a request that fails everywhere being started for ever.
+func TestSetAside(t *testing.T) {
+	c := newCluster(1, 1, unevenShares(1))
+	s := &c.members[0].scheduler
+	r, p := c.add(0, "t000", fleet.Queue{}, 5_000)
+	for p == nil {
+		must.Eq(t, r, s.Next(c.now))
+		s.Done(c.now, r, caller.NotRun)
+		r.FailedStarts++
+		p = s.Add(c.now, r)
+	}
+	must.Eq(t, 3, r.FailedStarts)
+	must.Eq(t, "set_aside", p.Reason)
+	must.Eq(t, caller.NotRun, p.Run)
+}
+
+// Guards against a team at its limit blocking the others, being tried at every decision, or
+// staying blocked after it has room again.
+func TestLimitIsPassedOver(t *testing.T) {
+	c := newCluster(1, 10, unevenShares(2))
+	s := &c.members[0].scheduler
+	tries, running := 0, 0
+	s.TryStart = func(id fleet.TeamID) bool {
+		if id != "t000" {
+			return true
+		}
+		tries++
+		if running == 2 {
+			return false
+		}
+		running++
+		return true
+	}
+	for range 20 {
+		_, _ = c.add(0, "t000", fleet.Queue{}, 60_000)
+		_, _ = c.add(0, "t001", fleet.Queue{}, 60_000)
+	}
+	var first *caller.Request
+	started := map[fleet.TeamID]int{}
+	for r := s.Next(c.now); r != nil; r = s.Next(c.now) {
+		started[r.Team]++
+		if r.Team == "t000" {
+			first = r
+		}
+	}
+	must.Eq(t, map[fleet.TeamID]int{"t000": 2, "t001": 8}, started)
+	must.Eq(t, 3, tries)
+	running--
+	s.Done(c.now, first, caller.Ran)
+	must.Eq(t, "t000", s.Next(c.now).Team)
+	must.Eq(t, 4, tries)
+}
+
+// Guards against refusing early without evidence, on old evidence, or a request whose deadline
+// could be met: with run times of 100 ms on 4 slots, n waiting requests of a team cannot end
+// before (n/4+1)*100 ms even if the team had all slots.
+func TestEarlyRefusalIsTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(1, 4, unevenShares(2))
+		s := &c.members[0].scheduler
+		ran := rapid.IntRange(0, 20).Draw(t, "ran")
+		for range ran {
+			_, p := c.add(0, "t000", fleet.Queue{}, 5_000)
+			must.Nil(t, p)
+		}
+		for s.Waiting() > 0 || s.Running() > 0 {
+			c.step()
+		}
+		if rapid.Bool().Draw(t, "pause") {
+			c.now += 10_001
+			ran = 0
+		}
+		c.exchange()
+		refused := 0
+		for range 60 {
+			wait := clock.Millis(rapid.IntRange(1, 1_500).Draw(t, "wait"))
+			before := s.Waiting()
+			_, p := c.add(0, "t000", fleet.Queue{}, wait)
+			if p == nil {
+				continue
+			}
+			refused++
+			must.GreaterEq(t, 8, ran)
+			must.Eq(t, caller.NotRun, p.Run)
+			must.Greater(t, wait, clock.Millis(before/4+1)*100)
+		}
+		must.True(t, ran < 8 || refused > 0, must.Sprint("nothing was refused early"))
+		c.started = func(r *caller.Request) {
+			must.True(t, ran < 8 || r.Deadline >= c.now+100, must.Sprint("started too late to end in time"))
+		}
+		for s.Waiting() > 0 {
+			c.step()
+			s.Expire(c.now)
+		}
+	})
+}
+
+// Guards against urgent requests waiting behind a full pool of runs of a second, and against
+// more than a quarter of the slots going to them ahead of the fair order.
+func TestUrgentPath(t *testing.T) {
+	for _, slots := range []fleet.Slots{2, 8, 80} {
+		c := newCluster(1, slots, unevenShares(6))
+		c.runTime = func(*caller.Request) clock.Millis { return 500 + clock.Millis(c.random.IntN(500)) }
+		var longest clock.Millis
+		starts := map[bool]float64{}
+		c.started = func(r *caller.Request) {
+			starts[r.Queue.Urgent]++
+			if r.Queue.Urgent {
+				longest = max(longest, c.now-r.Arrived)
+			}
+		}
+		everywhere := func(int, int) bool { return true }
+		c.backlog(3_000, 50, everywhere)
+		for range 10 {
+			_, p := c.add(0, "t005", fleet.Queue{Urgent: true}, 60_000)
+			must.Nil(t, p)
+			c.backlog(c.now+2_000, 50, everywhere)
+		}
+		must.Less(t, 2_800, longest)
+		clear(starts)
+		for range 400 {
+			_, _ = c.add(0, "t005", fleet.Queue{Urgent: true}, 600_000)
+		}
+		c.backlog(c.now+5_000, 50, everywhere)
+		// t005 has a twelfth of the shares, which it may use for urgent requests as well.
+		must.LessEq(t, 0.25+1.0/12+0.1, starts[true]/(starts[true]+starts[false]))
+		must.GreaterEq(t, 0.15, starts[true]/(starts[true]+starts[false]))
+	}
+}
+
+// Guards against unused share staying idle, against its owner waiting long to get it back, and
+// against the owner getting more than its share for the time in which it did not use it.
+func TestUnusedShareIsLent(t *testing.T) {
+	both := func(int, int) bool { return true }
+	c := newCluster(3, 60, unevenShares(2))
+	c.runTime = func(*caller.Request) clock.Millis { return 1_000 }
+	c.backlog(2_000, 60, both)
+	for _, m := range c.members {
+		drop(m, "t000")
+	}
+	c.backlog(6_000, 60, func(team, _ int) bool { return team == 1 })
+	clear(c.used)
+	c.backlog(10_000, 60, func(team, _ int) bool { return team == 1 })
+	must.Eq(t, 4_000*60, c.used["t001"])
+	c.backlog(13_000, 60, both)
+	for _, most := range []float64{0.72, 0.63, 0.63, 0.63, 0.63} {
+		clear(c.used)
+		c.backlog(c.now+2_000, 60, both)
+		must.Between(t, 0.57, c.used["t000"]/(c.used["t000"]+c.used["t001"]), most)
+	}
+}
+
+// drop cancels what waits of a team.
+func drop(m *member, id fleet.TeamID) {
+	for _, r := range m.added {
+		if r.Team == id && m.scheduler.Remove(r) {
+			m.waiting[id]--
+		}
+	}
+}
+
+// Guards against a team being held back for as long as it had used slots that nobody wanted.
+func TestBorrowerIsNotStarved(t *testing.T) {
+	c := newCluster(1, 60, unevenShares(2))
+	c.runTime = func(r *caller.Request) clock.Millis {
+		if r.Team == "t001" && r.Arrived < 9_000 {
+			return 8_000
+		}
+		return 100
+	}
+	last, longest := clock.Millis(0), clock.Millis(0)
+	c.started = func(r *caller.Request) {
+		if r.Team == "t001" {
+			last, longest = c.now, max(longest, c.now-last)
+		}
+	}
+	c.backlog(9_000, 60, func(team, _ int) bool { return team == 1 })
+	drop(c.members[0], "t001")
+	last, longest = c.now+8_000, 0
+	c.backlog(30_000, 60, func(int, int) bool { return true })
+	must.Less(t, 4_000, longest)
+}
+
+// Guards against starvation: with all other teams backlogged, each request of a team with at
+// least a hundredth of the shares starts in bounded time.
+func TestNoStarvation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		teams := rapid.IntRange(2, 12).Draw(t, "teams")
+		shares := map[fleet.TeamID]fleet.Share{}
+		for i := range teams {
+			shares[teamID(i)] = fleet.Share(rapid.IntRange(100, 800).Draw(t, "share"))
+		}
+		c := newCluster(rapid.IntRange(1, 3).Draw(t, "members"), 12, shares)
+		c.runTime = func(r *caller.Request) clock.Millis {
+			return clock.Millis(1 + c.random.IntN(100)*int(1+r.Team[3]%3))
+		}
+		waiting := map[*caller.Request]bool{}
+		c.started = func(r *caller.Request) { delete(waiting, r) }
+		busy := func(team, _ int) bool { return team > 0 }
+		for range 3 {
+			c.backlog(c.now+3_000, 5, busy)
+			for j := range c.members {
+				r, p := c.add(j, "t000", fleet.Queue{}, 60_000)
+				must.Nil(t, p)
+				waiting[r] = true
+			}
+		}
+		c.backlog(c.now+8_000, 5, busy)
+		must.MapEmpty(t, waiting)
+		must.LessEq(t, 12, c.busy)
+	})
+}
