Admit by scheduler, record small answers, bound heads and bodies

Cause: admission held one lock over all shards' lookup, scanned its queue, and woke nobody when a limit had room again in another pool; a slow body held a slot; answers were not recorded. Change: Admission runs a Scheduler per pool with a shard map that is copied on write, takes load summaries through Loads, reports its own through Summary and has Wake. A team that waits at its limit is retried when a request of it ends in any pool, on Wake, or once a second. release takes the outcome. Authorization is checked in authorize.go, at arrival and again before a target is chosen.

--- /dev/null
+++ b/caller/admission_query.go
@@ -0,0 +1,32 @@
+package caller
+
+import (
+	"citronknot/fleet"
+)
+
+// Summary returns this process's own load summary: in-flight and waiting requests of each pool
+// and team. It lists only pools with load.
+func (a *Admission) Summary() map[fleet.PoolID]Load {
+	now := a.Clock.Now()
+	out := map[fleet.PoolID]Load{}
+	for id, s := range a.all() {
+		s.mu.Lock()
+		l := s.scheduler.Load(now)
+		s.mu.Unlock()
+		if len(l.Teams) > 0 {
+			out[id] = l
+		}
+	}
+	return out
+}
+
+// Portions returns the slots of each pool that this process may fill.
+func (a *Admission) Portions() map[fleet.PoolID]fleet.Slots {
+	out := map[fleet.PoolID]fleet.Slots{}
+	for id, s := range a.all() {
+		s.mu.Lock()
+		out[id] = s.scheduler.Portion()
+		s.mu.Unlock()
+	}
+	return out
+}
--- /dev/null
+++ b/caller/admission_test.go
@@ -0,0 +1,164 @@
+package caller_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"citronknot/caller"
+	"citronknot/clock"
+	"citronknot/fleet"
+)
+
+// bubbleClock follows the virtual time of a synctest bubble.
+func bubbleClock() clock.Clock {
+	start := time.Now()
+	return clock.Clock{NowFunc: func() clock.Millis { return clock.Of(time.Since(start)) }}
+}
+
+func request(c clock.Clock, pool fleet.PoolID, team fleet.TeamID, wait clock.Millis) *caller.Request {
+	return &caller.Request{
+		Queue: fleet.Queue{ID: "q", Pool: pool, MaxWaiting: 1000}, Team: team,
+		Arrived: c.Now(), Deadline: c.Now() + wait,
+	}
+}
+
+// Guards against slots that leak or are given twice, and against requests that are neither
+// started nor refused, when callers cancel and deadlines pass while others run.
+func TestAdmissionCountsSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var running, most, ended, refused atomic.Int64
+		c := bubbleClock()
+		a := &caller.Admission{Clock: c, Slots: func(fleet.PoolID) fleet.Slots { return 5 }}
+		var wg sync.WaitGroup
+		for i := range 300 {
+			ctx, cancel := context.WithCancel(t.Context())
+			wg.Go(func() {
+				defer cancel()
+				release, err := a.Acquire(ctx, request(c, "p", teamID(i%3), clock.Millis(100+i*10)))
+				if err != nil {
+					var p *caller.Problem
+					must.True(t, errors.As(err, &p))
+					must.Eq(t, caller.NotRun, p.Run)
+					refused.Add(1)
+					return
+				}
+				most.Store(max(most.Load(), running.Add(1)))
+				time.Sleep(50 * time.Millisecond)
+				running.Add(-1)
+				ended.Add(1)
+				release(caller.Ran)
+			})
+			if i%5 == 0 {
+				time.AfterFunc(70*time.Millisecond, cancel)
+			}
+		}
+		synctest.Wait()
+		must.Eq(t, 295, waitingOf(a, "p"))
+		must.Eq(t, 5, int(a.Summary()["p"].InFlight))
+		time.Sleep(71 * time.Millisecond)
+		synctest.Wait()
+		must.Less(t, 250, waitingOf(a, "p"))
+		wg.Wait()
+		must.Eq(t, 300, ended.Load()+refused.Load())
+		must.Eq(t, 5, most.Load())
+		must.Greater(t, 100, ended.Load())
+		must.MapEmpty(t, a.Summary())
+	})
+}
+
+func waitingOf(a *caller.Admission, p fleet.PoolID) (n int) {
+	for _, l := range a.Summary()[p].Teams {
+		n += l.Waiting
+	}
+	return n
+}
+
+// Guards against a request that waits for its team's limit being forgotten when the room comes
+// from another pool, from a larger portion or from more slots.
+func TestAdmissionWakesWhatMayStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var slots, limit, running atomic.Int64
+		slots.Store(1)
+		limit.Store(1)
+		c := bubbleClock()
+		a := &caller.Admission{
+			Clock: c, Slots: func(fleet.PoolID) fleet.Slots { return fleet.Slots(slots.Load()) },
+			TryStart: func(fleet.TeamID) bool {
+				if running.Load() >= limit.Load() {
+					return false
+				}
+				running.Add(1)
+				return true
+			},
+			Finish: func(fleet.TeamID) { running.Add(-1) },
+		}
+		var started atomic.Int64
+		start := func(pool fleet.PoolID) {
+			release, err := a.Acquire(t.Context(), request(c, pool, "t", 60_000))
+			must.NoError(t, err)
+			started.Add(1)
+			time.Sleep(30 * time.Second)
+			release(caller.Ran)
+		}
+		release, err := a.Acquire(t.Context(), request(c, "p", "t", 60_000))
+		must.NoError(t, err)
+		go start("other")
+		synctest.Wait()
+		must.Eq(t, 0, started.Load())
+		release(caller.Ran)
+		synctest.Wait()
+		must.Eq(t, 1, started.Load(), must.Sprint("room from another pool"))
+		go start("p")
+		synctest.Wait()
+		limit.Store(2)
+		a.Wake()
+		synctest.Wait()
+		must.Eq(t, 2, started.Load(), must.Sprint("a larger portion"))
+		limit.Store(3)
+		go start("p")
+		synctest.Wait()
+		must.Eq(t, 2, started.Load())
+		slots.Store(2)
+		a.Wake()
+		synctest.Wait()
+		must.Eq(t, 3, started.Load(), must.Sprint("more slots"))
+		must.Eq(t, 2, a.Portions()["p"])
+		time.Sleep(time.Minute)
+	})
+}
+
+// Guards against a waiting request being refused only when its deadline has passed, although
+// its run time is known, and against a caller who left keeping its place.
+func TestAdmissionRefusesWaitingEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := bubbleClock()
+		a := &caller.Admission{Clock: c, Slots: func(fleet.PoolID) fleet.Slots { return 1 }}
+		for range 10 {
+			release, err := a.Acquire(t.Context(), request(c, "p", "t", 5_000))
+			must.NoError(t, err)
+			time.Sleep(400 * time.Millisecond)
+			release(caller.Ran)
+		}
+		release, err := a.Acquire(t.Context(), request(c, "p", "t", 5_000))
+		must.NoError(t, err)
+		before := c.Now()
+		_, err = a.Acquire(t.Context(), request(c, "p", "t", 1_000))
+		var p *caller.Problem
+		must.True(t, errors.As(err, &p))
+		must.Eq(t, "deadline", p.Reason)
+		must.Between(t, 600, c.Now()-before, 750)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		_, err = a.Acquire(ctx, request(c, "p", "t", 1_000))
+		must.True(t, errors.As(err, &p))
+		must.Eq(t, "cancelled", p.Reason)
+		release(caller.Ran)
+	})
+}
--- a/caller/problem.go
+++ b/caller/problem.go
@@ -28,6 +28,9 @@
 	Field    string // for invalid input: the header or path element
 	Accepted string // for invalid input: what is accepted there
 	Reason   string // short name of the cause, for metrics
+	// FailedStarts is the number of targets on which the request failed before it ran. The
+	// request may be tried again if it is above 0 and Run is NotRun.
+	FailedStarts int
 }
 
 func (p *Problem) Error() string {
@@ -45,9 +48,15 @@
 	Accepted  string `json:"accepted,omitempty"`
 }
 
+// maxShownValue bounds how much of an invalid value an answer repeats.
+const maxShownValue = 64
+
 func badField(status int, field, value, accepted string) *Problem {
+	if len(value) > maxShownValue {
+		value = value[:maxShownValue] + "..."
+	}
 	return &Problem{
-		Status: status, Title: "invalid " + field, Run: NotRun, Field: field, Accepted: accepted,
+		Status: status, Title: "invalid " + field, Run: NotRun, Field: field, Accepted: accepted, Reason: "invalid",
 		Detail: fmt.Sprintf("%s %q is not accepted; accepted: %s", field, value, accepted),
 	}
 }
@@ -56,6 +65,9 @@
 func WriteProblem(w http.ResponseWriter, id fleet.RequestID, p *Problem) {
 	h := w.Header()
 	h.Set("Content-Type", "application/problem+json")
+	if p.Status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
 	h.Set(HeaderRun, string(p.Run))
 	if id != "" {
 		h.Set(HeaderRequestID, string(id))
--- a/caller/request.go
+++ b/caller/request.go
@@ -14,14 +14,23 @@
 
 // Names of the headers of the callers' protocol.
 const (
+	HeaderAuthorization  = "Authorization"
 	HeaderDeadline       = "Citronknot-Deadline"
 	HeaderRun            = "Citronknot-Run"
 	HeaderRequestID      = "Citronknot-Request-Id"
+	HeaderRepeat         = "Citronknot-Repeat" // "true" on a recorded answer
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
-// maxIdempotencyKey bounds the length of an idempotency key.
-const maxIdempotencyKey = 128
+const (
+	// maxIdempotencyKey bounds the length of an idempotency key.
+	maxIdempotencyKey = 128
+	// maxHead bounds the head of a request.
+	maxHead = 16 << 10
+	// MaxHeaderBytes is for the http.Server of the callers' listener. It is above what is
+	// accepted, so that a head that is somewhat too large gets an answer that says so.
+	MaxHeaderBytes = 64 << 10
+)
 
 // Request is the accepted head of a caller's request.
 type Request struct {
@@ -44,19 +53,26 @@
 	return fleet.RequestID(hex.EncodeToString(b[:]))
 }
 
-// ReadHead checks the head of r against c. It is the one place that ties work to the team of
-// the key that came with it. It fails with *Problem.
-func ReadHead(r *http.Request, c *fleet.Config, now clock.Millis) (*Request, error) {
+// ReadHead checks the head of r against c and returns the request with the given id. It fails
+// with *Problem.
+func ReadHead(r *http.Request, c *fleet.Config, id fleet.RequestID, now clock.Millis) (*Request, error) {
+	if n := headSize(r); n > maxHead {
+		return nil, badField(http.StatusRequestHeaderFieldsTooLarge, "request head", fmt.Sprintf("%d bytes", n), fmt.Sprintf("up to %d bytes", maxHead))
+	}
 	q, ok := c.Queues[fleet.QueueID(r.PathValue("queue"))]
 	if !ok {
 		return nil, badField(http.StatusNotFound, "queue", r.PathValue("queue"), "the id of a queue")
 	}
-	for _, name := range []string{"Authorization", HeaderIdempotencyKey, HeaderDeadline} {
+	for _, name := range []string{HeaderAuthorization, HeaderIdempotencyKey, HeaderDeadline} {
 		if len(r.Header.Values(name)) > 1 {
 			return nil, badField(http.StatusBadRequest, name, "repeated", "one value")
 		}
 	}
-	grant, err := grantOf(r, c, q)
+	hash, err := bearerHash(r)
+	if err != nil {
+		return nil, err
+	}
+	grant, err := authorize(c, q, hash)
 	if err != nil {
 		return nil, err
 	}
@@ -69,58 +85,47 @@
 		return nil, err
 	}
 	return &Request{
-		ID: NewRequestID(), Queue: q, Team: grant.Team, Key: grant.Hash, IdempotencyKey: key,
+		ID: id, Queue: q, Team: grant.Team, Key: grant.Hash, IdempotencyKey: key,
 		Arrived: now, Deadline: now + wait,
 	}, nil
 }
 
-func grantOf(r *http.Request, c *fleet.Config, q fleet.Queue) (fleet.Key, error) {
-	text := r.Header.Get("Authorization")
-	if text == "" && q.Open {
-		return fleet.Key{}, nil
-	}
-	secret, ok := strings.CutPrefix(text, "Bearer ")
-	if !ok || secret == "" || strings.ContainsAny(secret, " \t") {
-		return fleet.Key{}, &Problem{
-			Status: http.StatusUnauthorized, Title: "key missing or malformed", Run: NotRun,
-			Field: "Authorization", Accepted: "Bearer and a key",
+// headSize returns about the size of the head of r on the wire.
+func headSize(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
 		}
 	}
-	k, ok := c.Keys[fleet.HashKey(secret)]
-	if !ok {
-		return fleet.Key{}, &Problem{
-			Status: http.StatusForbidden, Title: "key unknown or withdrawn", Run: NotRun,
-			Field: "Authorization", Accepted: "a key that is granted",
-		}
-	}
-	return k, nil
+	return n
 }
 
 func idempotencyKey(r *http.Request, q fleet.Queue) (string, error) {
-	key := r.Header.Get(HeaderIdempotencyKey)
-	accepted := fmt.Sprintf("1 to %d visible ASCII characters", maxIdempotencyKey)
-	if key == "" && !q.Idempotent {
-		return "", badField(http.StatusBadRequest, HeaderIdempotencyKey, "", accepted+" on a queue that is not idempotent")
+	values := r.Header.Values(HeaderIdempotencyKey)
+	if len(values) == 0 && q.Idempotent {
+		return "", nil
 	}
-	if len(key) > maxIdempotencyKey {
-		return "", badField(http.StatusBadRequest, HeaderIdempotencyKey, key[:16]+"...", accepted)
+	accepted := fmt.Sprintf("1 to %d visible ASCII characters", maxIdempotencyKey)
+	if len(values) == 0 {
+		return "", badField(http.StatusBadRequest, HeaderIdempotencyKey, "", accepted+", required on a queue that is not idempotent")
 	}
-	for _, b := range []byte(key) {
-		if b <= ' ' || b > '~' {
-			return "", badField(http.StatusBadRequest, HeaderIdempotencyKey, key, accepted)
-		}
+	key := values[0]
+	visible := func(b rune) bool { return b > ' ' && b <= '~' }
+	if key == "" || len(key) > maxIdempotencyKey || strings.ContainsFunc(key, func(b rune) bool { return !visible(b) }) {
+		return "", badField(http.StatusBadRequest, HeaderIdempotencyKey, key, accepted)
 	}
 	return key, nil
 }
 
 func deadline(r *http.Request, q fleet.Queue) (clock.Millis, error) {
-	text := r.Header.Get(HeaderDeadline)
-	if text == "" {
+	values := r.Header.Values(HeaderDeadline)
+	if len(values) == 0 {
 		return q.DefaultDeadline, nil
 	}
-	ms, err := strconv.ParseInt(text, 10, 64)
+	ms, err := strconv.ParseUint(values[0], 10, 63)
 	if err != nil || ms < 1 || clock.Millis(ms) > q.MaxDeadline {
-		return 0, badField(http.StatusBadRequest, HeaderDeadline, text, fmt.Sprintf("1 to %d milliseconds", q.MaxDeadline))
+		return 0, badField(http.StatusBadRequest, HeaderDeadline, values[0], fmt.Sprintf("1 to %d milliseconds", q.MaxDeadline))
 	}
 	return clock.Millis(ms), nil
 }
--- a/caller/scheduler.go
+++ b/caller/scheduler.go
@@ -102,6 +102,7 @@
 	flow     *flow
 	line     *line
 	refusal  *Problem
+	decided  chan struct{} // closed when a waiting request starts or is refused
 }
 
 func earlier(a, b *Request) bool {
