Divide pools in whole micro-slots and outside the shard lock

Change: sums are whole micro-slots and need no order; Admission computes the division without the lock and drops a view that was overtaken. The tests' load summaries now arrive after 300 ms. Ruled out: summing in sorted order only for the members that changed (more state for the same).

--- a/caller/admission.go
+++ b/caller/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -20,8 +21,8 @@
 )
 
 // Admission decides when a request may start. Its state is kept in one shard for each pool,
-// each under its own lock. The seams are called with at most the lock of one shard held and
-// must not call back.
+// each under its own lock. TryStart is called with the lock of one shard held, the other seams
+// with none. TryStart must not call back.
 type Admission struct {
 	Clock clock.Clock
 	// Slots returns the slots of a pool. They are divided among the members that Loads knows;
@@ -47,9 +48,11 @@
 
 	mu        sync.Mutex
 	scheduler Scheduler
-	viewed    clock.Millis // when the view was read; meaningful if known
-	known     bool
-	checking  bool // a check is due; it ends when nothing waits
+	applied   uint64 // number of the newest view in use
+	checking  bool   // a check is due; it ends when nothing waits
+
+	views atomic.Uint64 // numbers the views that were read
+	due   atomic.Int64  // when the next view is to be read
 }
 
 // Acquire waits until r may start and returns the function that ends it, which has to be
@@ -57,8 +60,8 @@
 func (a *Admission) Acquire(ctx context.Context, r *Request) (release func(Outcome), err error) {
 	s := a.shard(r.Queue.Pool)
 	now := a.Clock.Now()
+	a.refresh(s, now)
 	s.mu.Lock()
-	a.refresh(s, now, false)
 	if p := s.scheduler.Add(now, r); p != nil {
 		s.mu.Unlock()
 		return nil, p
@@ -106,7 +109,7 @@
 // Wake looks at all pools again: a portion, a slot count or a load summary may have changed.
 func (a *Admission) Wake() {
 	for _, s := range a.all() {
-		a.wake(s, func(now clock.Millis) { a.refresh(s, now, true) })
+		a.view(s)
 	}
 }
 
@@ -126,9 +129,9 @@
 	}
 	s.checking = true
 	time.AfterFunc(checkEvery, func() {
+		a.refresh(s, a.Clock.Now())
 		a.wake(s, func(now clock.Millis) {
 			s.checking = false
-			a.refresh(s, now, false)
 			s.scheduler.Expire(now)
 		})
 		s.mu.Lock()
@@ -139,20 +142,33 @@
 	})
 }
 
-// refresh reads the view of the pool if it is due, and lets teams at their limit try again, in
-// case a Wake was missed. The shard is locked.
-func (a *Admission) refresh(s *shard, now clock.Millis, due bool) {
-	if s.known && !due && now-s.viewed < viewEvery {
-		return
+// refresh reads the view of the pool if it is due.
+func (a *Admission) refresh(s *shard, now clock.Millis) {
+	due := s.due.Load()
+	if int64(now) >= due && s.due.CompareAndSwap(due, int64(now+viewEvery)) {
+		a.view(s)
 	}
+}
+
+// view reads the view of the pool and starts what may start then. Teams at their limit try
+// again, in case a Wake was missed. The division takes milliseconds with many members and teams,
+// so it is computed without the lock; a view that was overtaken is dropped.
+func (a *Admission) view(s *shard) {
+	number := s.views.Add(1)
 	v := View{Members: 1}
 	if a.Loads != nil {
 		v = a.Loads(s.pool)
 	}
 	v.Slots = a.Slots(s.pool)
-	s.scheduler.SetView(now, v)
-	s.scheduler.UnblockAll(now)
-	s.viewed, s.known = now, true
+	d := divide(v, s.scheduler.shareOf)
+	a.wake(s, func(now clock.Millis) {
+		if number < s.applied {
+			return
+		}
+		s.applied = number
+		s.scheduler.apply(now, v.Slots, d)
+		s.scheduler.UnblockAll(now)
+	})
 }
 
 // dispatch starts what may start and tells exactly those that wait for it. The shard is locked.
@@ -213,6 +229,7 @@
 	s, ok := next[id]
 	if !ok {
 		s = &shard{pool: id}
+		s.due.Store(math.MinInt64)
 		s.scheduler.Share = a.Share
 		s.scheduler.TryStart = func(t fleet.TeamID) bool { return a.tryStart(s, t) }
 		next[id] = s
--- a/caller/fairness_test.go
+++ b/caller/fairness_test.go
@@ -49,11 +49,22 @@
 	return c
 }
 
-// exchange gives every member the newest summaries of all.
+// summaryDelay is the time that a load summary is under way.
+const summaryDelay = 300
+
 func (c *cluster) exchange() {
+	c.publish()
+	c.deliver()
+}
+
+func (c *cluster) publish() {
 	for _, m := range c.members {
 		m.sent = m.scheduler.Load(c.now)
 	}
+}
+
+// deliver gives every member the published summaries of all.
+func (c *cluster) deliver() {
 	for _, m := range c.members {
 		v := caller.View{Slots: c.slots, Members: len(c.members), Self: m.id, Own: m.sent}
 		for _, p := range c.members {
@@ -82,8 +93,11 @@
 // step passes one millisecond.
 func (c *cluster) step() {
 	c.now++
-	if c.now%1000 == 0 {
-		c.exchange()
+	switch c.now % 1000 {
+	case 0:
+		c.publish()
+	case summaryDelay:
+		c.deliver()
 	}
 	var busy fleet.Slots
 	for _, m := range c.members {
--- a/caller/flow.go
+++ b/caller/flow.go
@@ -37,7 +37,8 @@
 }
 
 // shareOf returns a team's share as a part of the fleet. Callers without a share, such as those
-// of open queues without a key, count as the smallest share there is.
+// of open queues without a key, count as the smallest share there is. It reads nothing that
+// changes, so it needs no lock.
 func (s *Scheduler) shareOf(t fleet.TeamID) float64 {
 	if s.Share == nil {
 		return 1
--- a/caller/load.go
+++ b/caller/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strings"
 
@@ -16,7 +15,7 @@
 	Waiting int
 }
 
-func (l TeamLoad) demand() float64 { return float64(l.Running) + float64(l.Waiting) }
+func (l TeamLoad) demand() int64 { return int64(l.Running) + int64(l.Waiting) }
 
 // Load is the load summary of one member for one pool.
 type Load struct {
@@ -55,10 +54,14 @@
 type memberLoad struct {
 	id     fleet.MemberID
 	load   Load
-	target float64
+	target int64 // in micro-slots
 	slots  fleet.Slots
 }
 
+// microSlots divides a slot. Sums over members and teams are taken in whole micro-slots, so that
+// all members compute the same, in whichever order they visit them.
+const microSlots = 1_000_000
+
 // divide computes this member's portion of a pool. Members with equal views of each other
 // compute portions that add up to at most the pool's slots: this is the one place that
 // enforces it. A peer without news keeps an even part; without any news the pool is divided
@@ -97,7 +100,7 @@
 // filled up to a common level of its share, and its part goes to the members where the demand
 // is. What is left over is divided evenly.
 func assign(members []*memberLoad, slots fleet.Slots, share func(fleet.TeamID) float64) {
-	demand := map[fleet.TeamID]float64{}
+	demand := map[fleet.TeamID]int64{}
 	for _, m := range members {
 		for id, t := range m.load.Teams {
 			demand[id] += t.demand()
@@ -105,12 +108,12 @@
 	}
 	order := slices.Clone(members)
 	slices.SortFunc(order, func(a, b *memberLoad) int { return strings.Compare(string(a.id), string(b.id)) })
-	parts, rest := fill(demand, float64(slots), share)
+	parts, rest := fill(demand, slots, share)
 	for _, m := range order {
-		m.target = rest / float64(len(order))
-		for _, id := range slices.Sorted(maps.Keys(m.load.Teams)) {
-			if demand[id] > 0 {
-				m.target += parts[id] * m.load.Teams[id].demand() / demand[id]
+		m.target = rest / int64(len(order))
+		for id, t := range m.load.Teams {
+			if t.demand() > 0 {
+				m.target += parts[id] * t.demand() / demand[id]
 			}
 		}
 	}
@@ -119,25 +122,32 @@
 }
 
 // fill gives each team the smaller of its demand and a common level of its share, so that all
-// slots are given out or all demand is met. It returns the parts and what is left over. Sums
-// run in a fixed order, so that all members compute the same figures.
-func fill(demand map[fleet.TeamID]float64, slots float64, share func(fleet.TeamID) float64) (map[fleet.TeamID]float64, float64) {
-	teams := slices.Sorted(maps.Keys(demand))
-	weights := 0.0
-	for _, id := range teams {
-		weights += share(id)
+// slots are given out or all demand is met. It returns the parts and what is left over, in
+// micro-slots.
+func fill(demand map[fleet.TeamID]int64, slots fleet.Slots, share func(fleet.TeamID) float64) (parts map[fleet.TeamID]int64, rest int64) {
+	type team struct {
+		id           fleet.TeamID
+		want, weight float64
 	}
-	slices.SortStableFunc(teams, func(a, b fleet.TeamID) int {
-		return cmp.Compare(demand[a]/share(a), demand[b]/share(b))
+	teams := make([]team, 0, len(demand))
+	for id, n := range demand {
+		teams = append(teams, team{id, float64(n), share(id)})
+	}
+	slices.SortFunc(teams, func(a, b team) int {
+		return cmp.Or(cmp.Compare(a.want/a.weight, b.want/b.weight), cmp.Compare(a.id, b.id))
 	})
-	parts := make(map[fleet.TeamID]float64, len(teams))
-	for _, id := range teams {
-		w := share(id)
-		parts[id] = min(demand[id], slots*w/weights)
-		slots -= parts[id]
-		weights -= w
+	left, weights := float64(slots), 0.0
+	for _, t := range teams {
+		weights += t.weight
+	}
+	parts = make(map[fleet.TeamID]int64, len(teams))
+	for _, t := range teams {
+		part := min(t.want, left*t.weight/weights)
+		parts[t.id] = int64(part * microSlots)
+		left -= part
+		weights -= t.weight
 	}
-	return parts, max(0, slots)
+	return parts, int64(max(0, left) * microSlots)
 }
 
 // hold takes slots back from members that could grow while others still have more running than
@@ -164,7 +174,8 @@
 func round(members []*memberLoad, slots fleet.Slots) {
 	left := slots
 	for _, m := range members {
-		m.slots = fleet.Slots(m.target + 1e-9)
+		// What is rounded off must not cost a whole slot.
+		m.slots = fleet.Slots((m.target + microSlots/1000) / microSlots)
 		left -= m.slots
 	}
 	byWait := slices.Clone(members)
@@ -185,7 +196,7 @@
 	}
 	byRest := slices.Clone(members)
 	slices.SortStableFunc(byRest, func(a, b *memberLoad) int {
-		return cmp.Compare(b.target-float64(b.slots), a.target-float64(a.slots))
+		return cmp.Compare(b.target-int64(b.slots)*microSlots, a.target-int64(a.slots)*microSlots)
 	})
 	for i := 0; left > 0; i++ {
 		byRest[i%len(byRest)].slots++
--- a/caller/scheduler.go
+++ b/caller/scheduler.go
@@ -134,10 +134,14 @@
 
 // SetView takes news about the pool and computes this member's portion and the weights.
 func (s *Scheduler) SetView(now clock.Millis, v View) {
+	s.apply(now, v.Slots, divide(v, s.shareOf))
+}
+
+// apply is the part of SetView that changes the state.
+func (s *Scheduler) apply(now clock.Millis, slots fleet.Slots, d division) {
 	s.init()
 	s.accrue(now)
-	s.slots = v.Slots
-	s.view = divide(v, s.shareOf)
+	s.slots, s.view = slots, d
 	for _, f := range s.teams {
 		f.share = s.shareOf(f.team)
 		s.follow(f)
