--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"citronknot/fleet"
@@ -13,6 +15,8 @@
 // instanceList holds what the platform's list said last. Instances that it shows as leaving,
 // or that it showed once and shows no more, get no new requests.
 type instanceList struct {
+	version atomic.Uint64 // counts the lists that differed from the one before
+
 	mu    sync.RWMutex
 	state map[fleet.InstanceID]platform.InstanceState
 }
@@ -48,7 +52,10 @@
 			next[id] = platform.StateLeaving
 		}
 	}
-	l.state = next
+	if !maps.Equal(l.state, next) {
+		l.state = next
+		l.version.Add(1)
+	}
 }
 
 // leaving reports whether the list shows an instance as leaving. An instance that was never
@@ -59,23 +66,13 @@
 	return l.state[id] == platform.StateLeaving
 }
 
-// serving returns the instances of a pool that may get new requests. It is the one place that
-// keeps work from leaving targets.
-func (p *Process) serving(pool fleet.PoolID) []fleet.Instance {
-	var out []fleet.Instance
-	for _, in := range p.current.Load().Instances {
-		if in.Pool == pool && !p.list.leaving(in.ID) {
-			out = append(out, in)
-		}
-	}
-	return out
-}
-
 // slots returns the part of a pool's slots that this process may fill.
 func (p *Process) slots(pool fleet.PoolID) fleet.Slots {
 	var n fleet.Slots
-	for _, in := range p.serving(pool) {
-		n += in.Slots
+	if s := p.serving.of(pool); s != nil {
+		for _, in := range s.Targets {
+			n += in.Slots
+		}
 	}
 	return max(1, n/fleet.Slots(p.settings.Members))
 }
--- a/entry/process.go
+++ b/entry/process.go
@@ -33,6 +33,7 @@
 	follower   *peer.Follower
 	limits     teamCounts
 	list       instanceList
+	serving    snapshots
 	admission  *caller.Admission
 	dispatcher *target.Dispatcher
 
@@ -52,7 +53,8 @@
 	p.client = &platform.Client{URL: s.Platform, Zone: fleet.ZoneID(s.Zone)}
 	configLog := &platform.ConfigLog{Table: p.client.Table()}
 	p.follower = &peer.Follower{Clock: p.clock, Log: configLog, Current: &p.current, Logger: log}
-	p.dispatcher = &target.Dispatcher{Clock: p.clock, Zone: fleet.ZoneID(s.Zone), Serving: p.serving}
+	p.serving = snapshots{current: &p.current, list: &p.list, members: s.Members, rank: rankOf(s.Member, s.Members)}
+	p.dispatcher = &target.Dispatcher{Clock: p.clock, Zone: fleet.ZoneID(s.Zone), Serving: p.serving.of}
 	p.limits.portion = p.portion
 	p.admission = &caller.Admission{Clock: p.clock, Slots: p.slots, TryStart: p.limits.tryStart, Finish: p.limits.finish}
 	p.callers = p.callerServer()
--- a/standin/target.go
+++ b/standin/target.go
@@ -25,7 +25,8 @@
 type TargetFaults struct {
 	FailAll  bool  `json:"fail_all"`  // answers 500 at once
 	Silent   bool  `json:"silent"`    // takes requests and never answers on connections open now
-	Crossed  bool  `json:"crossed"`   // answers with another request's id
+	Crossed  bool  `json:"crossed"`   // swaps the answers of two requests that run at the same time
+	Late     bool  `json:"late"`      // answers each request with the answer to the one before it
 	Truncate bool  `json:"truncate"`  // ends answers early
 	DelayMS  int64 `json:"delay_ms"`  // added to each run
 	Drain    bool  `json:"drain"`     // the guard refuses all new requests
@@ -36,10 +37,14 @@
 
 // Target is a stand-in for a target.
 type Target struct {
-	Slots int           // requests at once; the guard refuses more
-	Work  time.Duration // time of a run; the request header Work-Ms overrides it
+	Slots       int           // requests at once; the guard refuses more
+	Connections int           // connections at once; more are closed at once; 0 means no limit
+	Work        time.Duration // time of a run; the request header Work-Ms overrides it
 
 	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+	partner  chan reply // a request that waits for another one to swap answers with
+	before   reply      // the answer to the request before
 	running  int
 	runs     []*Run
 	faults   TargetFaults
@@ -54,6 +59,9 @@
 	t.faults = f
 	if f.RebootMS > 0 {
 		t.rebootAt = time.Now().Add(time.Duration(f.RebootMS) * time.Millisecond)
+		for c := range t.conns {
+			_ = c.(*targetConn).Conn.Close()
+		}
 	}
 }
 
@@ -88,6 +96,7 @@
 	run, f, ok := t.begin(r)
 	if !ok {
 		w.Header().Set("Citronknot-Run", "not_run")
+		w.Header().Set("Citronknot-Request-Id", r.Header.Get("Citronknot-Request-Id"))
 		http.Error(w, "guard: no slot", http.StatusServiceUnavailable)
 		return
 	}
@@ -134,27 +143,126 @@
 	return d + time.Duration(f.DelayMS)*time.Millisecond
 }
 
+// reply is the answer to a request.
+type reply struct {
+	id   string
+	text []byte
+}
+
 func (t *Target) respond(w http.ResponseWriter, r *http.Request, f TargetFaults, run *Run, body []byte) {
-	id := run.RequestID
-	switch {
-	case f.Silent && opened(r.Context()).Before(f.from):
+	if f.Silent && opened(r.Context()).Before(f.from) {
 		<-r.Context().Done()
 		return
+	}
+	a := reply{id: run.RequestID, text: append([]byte("ran "+run.RequestID+"\n"), body...)}
+	switch {
 	case f.Crossed:
-		id = "crossed-" + id
+		a = t.swap(r, a)
+	case f.Late:
+		t.mu.Lock()
+		a, t.before = t.before, a
+		t.mu.Unlock()
 	}
-	w.Header().Set("Citronknot-Request-Id", id)
+	w.Header().Set("Citronknot-Request-Id", a.id)
 	if f.FailAll {
 		http.Error(w, "failed", http.StatusInternalServerError)
 		return
 	}
-	text := append([]byte("ran "+run.RequestID+"\n"), body...)
-	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.text)))
 	if f.Truncate {
-		_, _ = w.Write(text[:len(text)/2])
+		_, _ = w.Write(a.text[:len(a.text)/2])
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = w.Write(text)
+	_, _ = w.Write(a.text)
+}
+
+// swapWait bounds the wait for a second request.
+const swapWait = 100 * time.Millisecond
+
+// swap exchanges a with the answer of another running request. Without one, a gets another id.
+func (t *Target) swap(r *http.Request, a reply) reply {
+	t.mu.Lock()
+	if p := t.partner; p != nil {
+		t.partner = nil
+		t.mu.Unlock()
+		other := <-p
+		p <- a
+		return other
+	}
+	p := make(chan reply)
+	t.partner = p
+	t.mu.Unlock()
+	timer := time.NewTimer(swapWait)
+	defer timer.Stop()
+	select {
+	case p <- a:
+		return <-p
+	case <-timer.C:
+	case <-r.Context().Done():
+	}
+	t.mu.Lock()
+	alone := t.partner == p
+	if alone {
+		t.partner = nil
+	}
+	t.mu.Unlock()
+	if alone {
+		return reply{id: "crossed-" + a.id, text: a.text}
+	}
+	p <- a
+	return <-p
+}
+
+// Listener wraps the listener of a target's server: it bounds the connections and closes them
+// on a reboot.
+func (t *Target) Listener(l net.Listener) net.Listener {
+	return &targetListener{Listener: l, target: t}
+}
+
+type targetListener struct {
+	net.Listener
+	target *Target
+}
+
+type targetConn struct {
+	net.Conn
+	target *Target
+}
+
+// Accept implements net.Listener.
+func (l *targetListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tc := &targetConn{Conn: c, target: l.target}
+		if l.target.admit(tc) {
+			return tc, nil
+		}
+		_ = c.Close()
+	}
+}
+
+func (t *Target) admit(c net.Conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.Connections > 0 && len(t.conns) >= t.Connections || time.Now().Before(t.rebootAt) {
+		return false
+	}
+	if t.conns == nil {
+		t.conns = map[net.Conn]struct{}{}
+	}
+	t.conns[c] = struct{}{}
+	return true
+}
+
+// Close implements net.Conn.
+func (c *targetConn) Close() error {
+	c.target.mu.Lock()
+	delete(c.target.conns, c)
+	c.target.mu.Unlock()
+	return c.Conn.Close()
 }
 
 type openedKey struct{}
--- a/target/conn.go
+++ b/target/conn.go
@@ -21,46 +21,56 @@
 	if c.blocked.Load() {
 		return 0, errBlocked
 	}
-	// Counted before the write: a write that fails may still have sent some bytes.
+	// Counted before the write, because another goroutine may ask while it is under way. What
+	// the kernel did not accept is subtracted afterwards.
 	c.written.Add(int64(len(b)))
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n - len(b)))
+	return n, err
 }
 
-// attempt watches the connections that one attempt uses. The transport may use more than one
+// usage records the connections that one attempt uses. The transport may use more than one
 // when a connection turns out to be closed.
-type attempt struct {
+type usage struct {
 	mu    sync.Mutex
-	conns []*conn
-	from  []int64
+	conns []usedConn
+	space [1]usedConn // avoids an allocation in the usual case
 }
 
-// use notes a connection before the request is written to it. A connection that follows one
+type usedConn struct {
+	conn *conn
+	from int64 // bytes written before this attempt
+}
+
+// use records a connection before the request is written to it. A connection that follows one
 // which took bytes is blocked, so that the transport's own repeats never send a request twice.
-func (a *attempt) use(nc net.Conn) {
+func (u *usage) use(nc net.Conn) {
 	c, ok := nc.(*conn)
 	if !ok {
 		return
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.sentLocked() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.sentLocked() {
 		c.blocked.Store(true)
 	}
-	a.conns = append(a.conns, c)
-	a.from = append(a.from, c.written.Load())
+	if u.conns == nil {
+		u.conns = u.space[:0]
+	}
+	u.conns = append(u.conns, usedConn{conn: c, from: c.written.Load()})
 }
 
 // sent reports whether any connection took a byte of the request. It is the one place that
-// decides whether "not run" is true.
-func (a *attempt) sent() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.sentLocked()
+// decides from the connections whether "not run" is true (I7).
+func (u *usage) sent() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.sentLocked()
 }
 
-func (a *attempt) sentLocked() bool {
-	for i, c := range a.conns {
-		if c.written.Load() > a.from[i] {
+func (u *usage) sentLocked() bool {
+	for _, c := range u.conns {
+		if c.conn.written.Load() > c.from {
 			return true
 		}
 	}
