--- a/target/attempt.go
+++ b/target/attempt.go
@@ -37,6 +37,7 @@
 	sender  *sender
 
 	// guarded by usage.mu
+	sentAt  clock.Millis
 	settled bool // the header of the response was received, or the attempt ended
 	silent  bool // the silence timeout passed
 	retry   bool // the attempt was cancelled for a retry
@@ -52,7 +53,7 @@
 	reuse := false
 	defer func() {
 		a.timer.Stop()
-		s.put(a.conn, reuse && a.sender.complete())
+		s.put(a.conn, reuse && a.sender.complete(), x.d.Clock.Now())
 		s.finish()
 		cancel(nil)
 		a.record(&o, start)
@@ -120,6 +121,9 @@
 
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	a.use(info.Conn)
+	a.mu.Lock()
+	a.sentAt = a.x.d.Clock.Now()
+	a.mu.Unlock()
 	a.progress()
 }
 
@@ -130,9 +134,9 @@
 // and the older ones. An idempotent request is tried again if the budget allows; any other
 // keeps waiting for its own response until its deadline.
 func (a *attempt) onSilence() {
-	a.target.abandon(a.conn)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.target.abandon(a.conn, a.sentAt)
 	a.silent = true
 	if a.settled || a.last || !a.x.q.Idempotent || !a.x.body.replayable() || a.x.ctx.Err() != nil {
 		return
--- a/target/body.go
+++ b/target/body.go
@@ -60,8 +60,8 @@
 	} else {
 		b.large = largeBuffers.Get().(*[bufferedBody + 1]byte)
 		buffer = b.large[:]
-		if r.ContentLength > 0 && r.ContentLength <= bufferedBody {
-			buffer = buffer[:r.ContentLength]
+		if r.ContentLength > 0 {
+			buffer = buffer[:min(r.ContentLength, bufferedBody)]
 		}
 	}
 	n, ended, err := fill(r.Body, buffer)
--- a/target/dispatcher.go
+++ b/target/dispatcher.go
@@ -71,9 +71,10 @@
 	ctx, cancel := context.WithTimeout(r.Context(), left)
 	defer cancel()
 	rc := http.NewResponseController(w)
-	// A caller that stops sending its body must not hold the request past its deadline. It also
-	// replaces the server's read timeout, which would cancel a request that runs longer.
-	_ = rc.SetReadDeadline(time.Now().Add(left))
+	if r.ContentLength != 0 {
+		// A caller that stops sending its body must not hold the request past its deadline.
+		_ = rc.SetReadDeadline(time.Now().Add(left))
+	}
 	b, err := readBody(r)
 	if err != nil {
 		return &Error{Err: err}
--- a/target/header.go
+++ b/target/header.go
@@ -85,7 +85,8 @@
 	h[HeaderRequestID] = values[1:2:2]
 }
 
-// removeNamed deletes the headers that the Connection header of from names.
+// removeNamed deletes the headers that the Connection header of from names. net/http drops a
+// Connection header that contains close, so the other names beside close are not known here.
 func removeNamed(h, from http.Header) {
 	for _, line := range from["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
--- a/target/pooledconn.go
+++ b/target/pooledconn.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"citronknot/clock"
 	"citronknot/fleet"
 )
 
@@ -35,6 +36,7 @@
 	transport http.Transport
 	addr      string
 	seq       atomic.Uint64 // order in which the connections to the target were opened
+	answered  clock.Millis  // last response; guarded by the target's lock
 
 	mu      sync.Mutex
 	current net.Conn
@@ -106,8 +108,9 @@
 
 // put makes a connection available again, or closes it if it was abandoned or must not be
 // reused.
-func (s *state) put(p *pooledConn, reuse bool) {
+func (s *state) put(p *pooledConn, reuse bool, now clock.Millis) {
 	s.mu.Lock()
+	p.answered = now
 	reuse = reuse && s.views > 0 && p.seq.Load() > s.abandoned && p.addr == s.instance.Address
 	if reuse {
 		s.idle = append(s.idle, p)
@@ -118,21 +121,19 @@
 	}
 }
 
-// abandon stops the reuse of p and of all connections to the target that were opened before
-// it, and closes the idle ones among them. Requests in flight on the others keep waiting.
-func (s *state) abandon(p *pooledConn) {
+// abandon stops the reuse of p, on which a request sent at a time went unanswered, and of all
+// connections that were opened before p. It also closes the idle connections without a response
+// since that request was sent: whatever lost the state of p can have lost theirs. Requests in
+// flight on other connections keep waiting.
+func (s *state) abandon(p *pooledConn, sent clock.Millis) {
 	seq := p.seq.Load()
 	s.mu.Lock()
-	if seq <= s.abandoned {
-		s.mu.Unlock()
-		return
-	}
-	s.abandoned = seq
+	s.abandoned = max(s.abandoned, seq)
 	s.generation++
 	var old []*pooledConn
 	kept := s.idle[:0]
 	for _, c := range s.idle {
-		if c.seq.Load() <= seq {
+		if c.seq.Load() <= seq || c.answered <= sent {
 			old = append(old, c)
 		} else {
 			kept = append(kept, c)
