Confirm the freshness of the configuration by store, peers and unanimity

Cause: a withdrawn key must stop working within 3 s while any path to the store or a peer remains, and keyed requests continue in an outage that hits all members; the Follower knew only the table service. Ruled out: unanimity that leaves out every member listed as gone, since such a member may have accepted a change that nobody else knows. Before: age by table reads only.

--- a/peer/follower.go
+++ b/peer/follower.go
@@ -2,26 +2,32 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"citronknot/clock"
 	"citronknot/fleet"
 	"citronknot/platform"
 )
 
-// Follower brings the configuration of this process up to the log in the table service.
+// Follower brings the configuration of this process up to the log in the table service and
+// knows how recently it was confirmed.
 type Follower struct {
 	Clock   clock.Clock
 	Log     *platform.ConfigLog
 	Current *fleet.Current
-	Every   clock.Millis // between two looks; 0 means 1000
+	Every   clock.Millis // between two reads of the head; 0 means 1000
 	Logger  *slog.Logger
+	// Changed is called after the configuration advanced. Nil does nothing.
+	Changed func()
 
-	mu        sync.Mutex
-	confirmed clock.Mark
-	known     bool
+	mu    sync.Mutex // guards fresh and notes, and orders the application of notes
+	fresh Freshness
+	notes notes
 }
 
 const defaultEvery clock.Millis = 1000
@@ -30,54 +36,84 @@
 func (f *Follower) Refresh(ctx context.Context) error {
 	sent := f.Clock.Mark()
 	head, err := f.Log.Head(ctx)
-	if err != nil {
-		return err
-	}
-	for f.Current.Load().Version < head.Version {
-		from := f.Current.Load().Version
-		notes, err := f.Log.Notes(ctx, from, min(head.Version, from+platform.MaxRows))
-		if err != nil {
-			return err
+	for err == nil && f.held() < head.Version {
+		from := f.held()
+		var list []fleet.ReleaseNote
+		list, err = f.Log.Notes(ctx, from, min(head.Version, from+platform.MaxRows))
+		if err == nil {
+			_, err = f.Apply(list)
 		}
-		if err := f.apply(notes); err != nil {
-			return err
+		if err == nil && f.held() == from {
+			err = eris.Errorf("peer: the notes after version %d do not follow it", from)
 		}
 	}
-	f.confirm(sent)
-	return nil
+	f.update(func(s *Freshness) {
+		if err != nil {
+			s.NotReached()
+			return
+		}
+		s.Reached(sent, head.Version, f.held())
+	})
+	return err
 }
 
-func (f *Follower) apply(notes []fleet.ReleaseNote) error {
-	for _, n := range notes {
+// Apply applies accepted notes that follow the configuration held, in version order, and
+// returns how many it applied. A note with another base is left out. The notes come from the
+// table service or from a member that applied them.
+func (f *Follower) Apply(list []fleet.ReleaseNote) (applied int, err error) {
+	f.mu.Lock()
+	for _, n := range list {
 		c := f.Current.Load()
 		if n.Base != c.Version {
-			continue // another refresh applied it
+			continue
 		}
-		next, err := c.Merge(n)
-		if err != nil {
-			return err
+		var next *fleet.Config
+		if next, err = c.Merge(n); err != nil {
+			break
 		}
 		if f.Current.Advance(next) {
+			applied++
+			f.notes.add(n)
 			f.Logger.Info("peer: configuration applied", "version", next.Version, "note", n.ID)
 		}
 	}
-	return nil
+	f.mu.Unlock()
+	if applied > 0 && f.Changed != nil {
+		f.Changed()
+	}
+	return applied, err
 }
 
-func (f *Follower) confirm(at clock.Mark) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.known || at.Now > f.confirmed.Now {
-		f.confirmed, f.known = at, true
+// Accept submits a release note to the table service and brings the configuration up to it.
+// Members submit notes only through it, because their peers rely on knowing which submissions
+// may yet take effect.
+func (f *Follower) Accept(ctx context.Context, n fleet.ReleaseNote) (fleet.Version, error) {
+	f.update(func(s *Freshness) { s.BeginAccept() })
+	v, err := f.Log.Accept(ctx, n)
+	var lost *platform.UnavailableError
+	var maybe fleet.Version
+	if errors.As(err, &lost) && lost.Maybe {
+		maybe = n.Base + 1
 	}
+	if err == nil {
+		// Applied before the submission ends, so that the configuration does not count as
+		// outdated in between. A note that does not follow is left to Refresh.
+		_, _ = f.Apply([]fleet.ReleaseNote{n})
+	}
+	f.update(func(s *Freshness) { s.EndAccept(v, maybe) })
+	if err == nil && f.held() < v {
+		err = f.Refresh(ctx)
+	}
+	return v, err
 }
 
-// Age returns the time since the configuration was last confirmed to be the newest. ok is
-// false if it never was.
-func (f *Follower) Age() (age clock.Millis, ok bool) {
+func (f *Follower) held() fleet.Version { return f.Current.Load().Version }
+
+func (f *Follower) update(change func(*Freshness)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.Clock.AtLeast(f.confirmed), f.known
+	f.fresh.Clock = f.Clock
+	change(&f.fresh)
 }
 
 // Run refreshes until ctx ends.
