Count the hour of unanimity from the last read of the member list

Cause: the hour was counted from the last renewal of the member's own row. A member that regains the table service just long enough to renew does not learn of a member that registered meanwhile and accepts changes unknown to it. Ruled out: renewal time taken at the start of the round; it closes only the case of a renewal during the round. Change: Roster carries the time before the read that gave it; StartRound takes a time read before the roster is looked up, so that a member acknowledged during the round accepts later than the confirmed time. Mutations seen to fail TestUnanimityEndsBeforeNewMembersAccept: drift margin dropped; AtMost for AtLeast of the read; Known ignored.

--- a/peer/freshness.go
+++ b/peer/freshness.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// newMemberWait is the time for which a registered member must be silent before a new
-	// member that it has not acknowledged accepts release notes.
+	// newMemberWait is the time for which a new member observes a silent registered member before
+	// it accepts release notes without that member's acknowledgement.
 	newMemberWait clock.Millis = 3_600_000
 	// driftMargin shortens newMemberWait for the member that counts on it. One minute in an
 	// hour covers clocks that differ in rate by 1.6%.
@@ -62,9 +62,11 @@
 // until a version above its base is read, or until a read shows the base still in place when
 // the table service cannot apply it any more; a submission of a process that has ended is
 // taken to be settled when its successor has read the table service, or when the platform's
-// list, which lags, shows the instance gone. A member unknown to this one accepts nothing
-// until this one was silent for an hour, which is counted from before its last renewal was
-// sent, less the drift margin.
+// list, which lags, shows the instance gone. A member that is not in the list that this one
+// read last registered after that read was sent, and accepts nothing until it has observed
+// this one for an hour; so unanimity ends an hour after that read, less the drift margin. A
+// renewal of this member's row after that does not extend the hour, as it brings no new list.
+// The list is looked up after At: a member that is acknowledged later accepts later than At.
 //
 // Elapsed times are the larger of the monotonic and the wall time, so a pause that one of the
 // clocks does not count still ages the configuration.
@@ -174,24 +176,26 @@
 // Round is one attempt to confirm the configuration by unanimity.
 type Round struct {
 	at      clock.Mark
+	listed  clock.Mark
 	missing map[fleet.MemberID]bool
 	newest  fleet.Version
 	spoiled bool
 }
 
-// StartRound begins a round among the registered members. It is called before the first
-// question is sent. self is left out, as it answers for itself when the round ends.
-func (f *Freshness) StartRound(self fleet.MemberID, members []Member) *Round {
-	r := &Round{at: f.Clock.Mark(), missing: map[fleet.MemberID]bool{}}
+// StartRound begins a round among the registered members. at is read before the roster is
+// looked up, and no question is sent before. self is left out, as it answers for itself when
+// the round ends.
+func (f *Freshness) StartRound(at clock.Mark, self fleet.MemberID, all Roster) *Round {
+	r := &Round{at: at, listed: all.Read, missing: map[fleet.MemberID]bool{}}
 	registered := false
-	for _, m := range members {
+	for _, m := range all.Members {
 		if m.ID == self {
 			registered = true
 		} else if !f.goneBefore(m) {
 			r.missing[m.ID] = true
 		}
 	}
-	r.spoiled = !registered
+	r.spoiled = !registered || !all.Known
 	return r
 }
 
@@ -214,14 +218,13 @@
 }
 
 // EndRound confirms the configuration of version held if the round was unanimous, and reports
-// whether it was. renewed is read before the member's last successful renewal was sent;
-// isRenewed is false if there was none.
-func (f *Freshness) EndRound(r *Round, held fleet.Version, renewed clock.Mark, isRenewed bool) bool {
+// whether it was.
+func (f *Freshness) EndRound(r *Round, held fleet.Version) bool {
 	r.Answer("", f.Statement(held))
 	if r.spoiled || len(r.missing) > 0 || r.newest > held {
 		return false
 	}
-	if !isRenewed || f.Clock.AtLeast(renewed) >= newMemberWait-driftMargin {
+	if f.Clock.AtLeast(r.listed) >= newMemberWait-driftMargin {
 		return false
 	}
 	f.Confirm(Confirmation{Version: held, At: r.at}, held)
--- a/peer/freshness_test.go
+++ b/peer/freshness_test.go
@@ -151,7 +151,7 @@
 	for _, o := range w.members {
 		list = append(list, peer.Member{ID: o.id, Gone: o.dead && m.gone, GoneSince: m.goneSince})
 	}
-	r := m.fresh.StartRound(m.id, list)
+	r := m.fresh.StartRound(m.fresh.Clock.Mark(), m.id, peer.Roster{Members: list, Read: m.fresh.Clock.Mark(), Known: true})
 	m.rounds = append(m.rounds, r)
 	for _, o := range w.members {
 		if r.Ask()[o.id] {
@@ -166,7 +166,7 @@
 	}
 	r := m.rounds[0]
 	m.rounds = m.rounds[1:]
-	if m.fresh.EndRound(r, m.held, m.fresh.Clock.Mark(), true) {
+	if m.fresh.EndRound(r, m.held) {
 		m.unanimous++
 	}
 }
@@ -278,7 +278,7 @@
 // Guards against unanimity lasting until a member unknown to this one may accept changes.
 func TestUnanimityEndsBeforeNewMembersAccept(t *testing.T) {
 	for _, tc := range []struct {
-		silent clock.Millis // since the last renewal of the member's row
+		silent clock.Millis // since the last read of the member list
 		known  bool
 		want   bool
 	}{
@@ -290,18 +290,18 @@
 		m := newWorld(1).members[0]
 		m.fresh.Reached(m.fresh.Clock.Mark(), 0, 0)
 		m.fresh.NotReached()
-		renewed := m.fresh.Clock.Mark()
+		read := m.fresh.Clock.Mark()
 		m.mono += tc.silent // as after a wall clock that was set back
-		r := m.fresh.StartRound(m.id, []peer.Member{{ID: m.id}})
-		must.Eq(t, tc.want, m.fresh.EndRound(r, 0, renewed, tc.known))
+		r := m.fresh.StartRound(m.fresh.Clock.Mark(), m.id, peer.Roster{Members: []peer.Member{{ID: m.id}}, Read: read, Known: tc.known})
+		must.Eq(t, tc.want, m.fresh.EndRound(r, 0))
 	}
 }
 
-// Guards against an unregistered member, or one that does not know the answerer, confirming.
+// Guards against a member that is not registered confirming by unanimity.
 func TestUnanimityNeedsRegistration(t *testing.T) {
 	m := newWorld(1).members[0]
 	m.fresh.Reached(m.fresh.Clock.Mark(), 0, 0)
 	m.fresh.NotReached()
-	r := m.fresh.StartRound(m.id, nil)
-	must.False(t, m.fresh.EndRound(r, 0, m.fresh.Clock.Mark(), true))
+	r := m.fresh.StartRound(m.fresh.Clock.Mark(), m.id, peer.Roster{Read: m.fresh.Clock.Mark(), Known: true})
+	must.False(t, m.fresh.EndRound(r, 0))
 }
--- a/peer/member.go
+++ b/peer/member.go
@@ -15,3 +15,12 @@
 	Gone      bool
 	GoneSince clock.Mark
 }
+
+// Roster is the list of registered members as this member read it last.
+type Roster struct {
+	Members []Member // with this member, once it is registered
+	// Read is the time before the read of the table service was sent that gave Members. Known
+	// is false if there was none.
+	Read  clock.Mark
+	Known bool
+}
