--- /dev/null
+++ b/peer/load.go
@@ -0,0 +1,102 @@
+package peer
+
+import (
+	"maps"
+
+	"citronknot/clock"
+	"citronknot/fleet"
+)
+
+// PoolLoad is the load of one member on one pool.
+type PoolLoad struct {
+	InFlight int
+	Slots    fleet.Slots
+	Waiting  map[fleet.TeamID]int
+}
+
+// Summary is the load of one member. It lists only pools with load.
+type Summary struct {
+	Member     fleet.MemberID
+	Zone       fleet.ZoneID
+	Stamp      Stamp
+	Assignment fleet.Version // held by the member of its own zone
+	Age        clock.Millis  // since the member made it, without the time in transit
+	Pools      map[fleet.PoolID]PoolLoad
+}
+
+const (
+	// silence is the time without news after which a member's summary is dropped.
+	silence clock.Millis = 3000
+	// stampLife is the time for which the stamp of a dropped summary is remembered, so that a
+	// peer that lags does not bring the summary back.
+	stampLife clock.Millis = 60_000
+)
+
+// Loads holds the latest load summary of each member. It is not safe for concurrent use.
+type Loads struct {
+	held map[fleet.MemberID]heldLoad
+}
+
+type heldLoad struct {
+	summary Summary
+	at      clock.Millis
+}
+
+// Put stores s if it is newer than what is known of its member, and reports whether it did.
+func (l *Loads) Put(s Summary, now clock.Millis) bool {
+	if old, ok := l.held[s.Member]; ok && !s.Stamp.Newer(old.summary.Stamp) {
+		return false
+	} else if !ok && len(l.held) >= maxIDs {
+		return false
+	}
+	if l.held == nil {
+		l.held = map[fleet.MemberID]heldLoad{}
+	}
+	l.held[s.Member] = heldLoad{summary: s, at: now}
+	return true
+}
+
+// Expire drops the summaries of members without news for 3 s.
+func (l *Loads) Expire(now clock.Millis) {
+	for id, h := range l.held {
+		switch {
+		case now-h.at > stampLife:
+			delete(l.held, id)
+		case now-h.at > silence:
+			h.summary.Pools = nil
+			l.held[id] = h
+		}
+	}
+}
+
+// Stamps returns the stamp of each known summary.
+func (l *Loads) Stamps() map[fleet.MemberID]Stamp {
+	out := make(map[fleet.MemberID]Stamp, len(l.held))
+	for id, h := range l.held {
+		out[id] = h.summary.Stamp
+	}
+	return out
+}
+
+// Get returns the summary of a member with its age.
+func (l *Loads) Get(id fleet.MemberID, now clock.Millis) (Summary, bool) {
+	h, ok := l.held[id]
+	if !ok || now-h.at > silence {
+		return Summary{}, false
+	}
+	s := h.summary
+	s.Age += now - h.at
+	return s, true
+}
+
+// Live returns the summaries of all members with news within 3 s.
+func (l *Loads) Live(now clock.Millis) []Summary {
+	var out []Summary
+	for id := range l.held {
+		if s, ok := l.Get(id, now); ok {
+			s.Pools = maps.Clone(s.Pools)
+			out = append(out, s)
+		}
+	}
+	return out
+}
