Wire members, escrow, peers and fair admission into the process

Cause: the parts existed beside a process that split limits and slots by a setting. Load summaries carry running requests by team and the longest wait, and a member without load counts as news.

--- a/chaos/load_test.go
+++ b/chaos/load_test.go
@@ -166,8 +166,8 @@
 // result is what a scenario showed.
 type result struct {
 	tried, answered, refused, unknown, lost, doubled, falselyRefused, cut int
-	mostRunning                                                          map[string]int
-	lateKey, lateTarget                                                  int
+	mostRunning                                                           map[string]int
+	lateKey, lateTarget                                                   int
 }
 
 func (r result) violations() int {
--- a/cmd/demo/driver.go
+++ b/cmd/demo/driver.go
@@ -30,6 +30,7 @@
 	key    string // idempotency key
 	status int
 	run    string
+	title  string // of a problem
 	whole  bool
 }
 
@@ -148,6 +149,12 @@
 	s.status = resp.StatusCode
 	s.run = resp.Header.Get("Citronknot-Run")
 	s.whole = err == nil && bytes.HasSuffix(text, body)
+	var problem struct {
+		Title string `json:"title"`
+	}
+	if s.run != "ran" && json.Unmarshal(text, &problem) == nil {
+		s.title = problem.Title
+	}
 	return s
 }
 
@@ -201,7 +208,11 @@
 		}
 	}
 	var answered, refused, falselyRefused, lost, doubled, unknown int
+	titles := map[string]int{}
 	for _, s := range d.all {
+		if s.title != "" {
+			titles[s.title]++
+		}
 		switch {
 		case s.run == "ran" && s.status == http.StatusOK && s.whole:
 			answered++
@@ -223,6 +234,9 @@
 		}
 	}
 	fmt.Printf("sent %d: answered %d, refused as not run %d, unknown %d\n", len(d.all), answered, refused, unknown)
+	for title, n := range titles {
+		fmt.Printf("  %d: %s\n", n, title)
+	}
 	fmt.Printf("lost %d, doubled %d, falsely refused %d, cut at a target %d\n", lost, doubled, falselyRefused, cut)
 	if answered == 0 || lost+doubled+falselyRefused+unknown+cut > 0 {
 		return errors.New("a request was lost, doubled, cut, left unknown or falsely refused")
--- a/entry/check.go
+++ b/entry/check.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"net/url"
 	"os"
-	"strconv"
 	"strings"
 	"time"
 
@@ -30,7 +29,6 @@
 const (
 	masked        = "(masked)"
 	minCredential = 8
-	maxMembers    = 1000
 )
 
 // ReadCredentials replaces the credentials by those of the credential files.
@@ -164,9 +162,6 @@
 }
 
 func (s *Settings) checkBounds() error {
-	if s.Members < 1 || s.Members > maxMembers {
-		return &SettingError{Setting: "members", Value: strconv.Itoa(s.Members), Accepted: fmt.Sprintf("1 to %d", maxMembers)}
-	}
 	for _, d := range []struct {
 		name       string
 		value, max time.Duration
--- /dev/null
+++ b/entry/members.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"citronknot/caller"
+	"citronknot/clock"
+	"citronknot/fleet"
+	"citronknot/peer"
+)
+
+// place is this member's rank among the registered members.
+type place struct {
+	version atomic.Uint64 // counts changes
+
+	mu      sync.Mutex
+	rank    int
+	members int
+}
+
+func (p *place) load() (rank, members int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rank, max(1, p.members)
+}
+
+func (p *place) store(rank, members int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.rank != rank || p.members != members {
+		p.rank, p.members = rank, members
+		p.version.Add(1)
+	}
+}
+
+// updatePlace computes the rank from the members that the platform's list does not show as
+// gone. All members order them by id.
+func (p *Process) updatePlace() {
+	rank, n := 0, 0
+	for _, m := range p.members.List() {
+		if p.list.gone(fleet.InstanceID(m.ID)) {
+			continue
+		}
+		if m.ID == p.members.Self.ID {
+			rank = n
+		}
+		n++
+	}
+	p.place.store(rank, n)
+}
+
+// roster returns the registered members for the exchange with peers.
+func (p *Process) roster() peer.Roster {
+	// The time of the read comes first: a list that is read in between is newer than it.
+	read, known := p.members.ListRead()
+	r := peer.Roster{Read: read, Known: known}
+	for _, m := range p.members.List() {
+		r.Members = append(r.Members, peer.Member{
+			ID: m.ID, Zone: m.Zone, Address: m.PeerAddr, Gone: p.goneMember(m.ID), GoneSince: p.goneSince(m.ID),
+		})
+	}
+	return r
+}
+
+func (p *Process) goneMember(id fleet.MemberID) bool { return p.list.gone(fleet.InstanceID(id)) }
+
+// goneSince returns when this process first saw that a member is gone.
+func (p *Process) goneSince(id fleet.MemberID) clock.Mark {
+	p.gone.mu.Lock()
+	defer p.gone.mu.Unlock()
+	if !p.goneMember(id) {
+		delete(p.gone.since, id)
+		return clock.Mark{}
+	}
+	if p.gone.since == nil {
+		p.gone.since = map[fleet.MemberID]clock.Mark{}
+	}
+	m, ok := p.gone.since[id]
+	if !ok {
+		m = p.clock.Mark()
+		p.gone.since[id] = m
+	}
+	return m
+}
+
+// goneMembers remembers when members were first seen to be gone.
+type goneMembers struct {
+	mu    sync.Mutex
+	since map[fleet.MemberID]clock.Mark
+}
+
+// ownLoad returns this process's load for its peers.
+func (p *Process) ownLoad() map[fleet.PoolID]peer.PoolLoad {
+	out := map[fleet.PoolID]peer.PoolLoad{}
+	for id, l := range p.admission.Summary() {
+		pl := peer.PoolLoad{InFlight: int(l.InFlight), Slots: p.serving.slots(id), Oldest: l.Oldest, Teams: map[fleet.TeamID]peer.TeamLoad{}}
+		for t, n := range l.Teams {
+			pl.Teams[t] = peer.TeamLoad{Running: int(n.Running), Waiting: n.Waiting}
+		}
+		out[id] = pl
+	}
+	return out
+}
+
+// view returns what is known of the use of a pool by all members.
+func (p *Process) view(pool fleet.PoolID) caller.View {
+	_, members := p.place.load()
+	v := caller.View{Members: members, Self: p.members.Self.ID, Own: callerLoad(p.syncer.OwnLoad(pool))}
+	for _, l := range p.syncer.Loads(pool) {
+		v.Peers = append(v.Peers, caller.PeerLoad{Member: l.Member, Load: callerLoad(l.PoolLoad), Age: l.Age})
+	}
+	slices.SortFunc(v.Peers, func(a, b caller.PeerLoad) int {
+		if a.Member < b.Member {
+			return -1
+		}
+		return 1
+	})
+	return v
+}
+
+func callerLoad(l peer.PoolLoad) caller.Load {
+	out := caller.Load{InFlight: fleet.Slots(l.InFlight), Oldest: l.Oldest, Teams: map[fleet.TeamID]caller.TeamLoad{}}
+	for t, n := range l.Teams {
+		out.Teams[t] = caller.TeamLoad{Running: fleet.Slots(n.Running), Waiting: n.Waiting}
+	}
+	return out
+}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -30,7 +30,6 @@
 	PeerCert     flags.Filename `long:"peer-tls-cert" env:"CITRONKNOT_PEER_TLS_CERT" description:"PEM certificate file of the peers' listener"`
 	PeerKey      flags.Filename `long:"peer-tls-key" env:"CITRONKNOT_PEER_TLS_KEY" description:"PEM key file of the peers' listener"`
 
-	Members       int           `long:"members" env:"CITRONKNOT_MEMBERS" default:"1" description:"number of entry instances that share slots and limits"`
 	Staleness     time.Duration `long:"max-staleness" env:"CITRONKNOT_MAX_STALENESS" default:"3s" description:"age of the configuration up to which keys are accepted"`
 	ShutdownDelay time.Duration `long:"shutdown-delay" env:"CITRONKNOT_SHUTDOWN_DELAY" default:"1s" description:"time between failing readiness and closing the listener"`
 	ShutdownBound time.Duration `long:"shutdown-bound" env:"CITRONKNOT_SHUTDOWN_BOUND" default:"5m" description:"longest wait for running requests on a planned stop"`
--- a/fleet/assignments.go
+++ b/fleet/assignments.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"sync"
+	"sync/atomic"
 )
 
 // Assignments holds the newest assignment of each zone known to a process. The zero value
@@ -10,8 +11,14 @@
 type Assignments struct {
 	mu    sync.RWMutex
 	zones map[ZoneID]*Assignment
+
+	changes atomic.Uint64
 }
 
+// Changes counts the assignments published, so that what is computed from them can be kept
+// until it changes.
+func (s *Assignments) Changes() uint64 { return s.changes.Load() }
+
 // Load returns the newest assignment of a zone, or nil if none is known.
 func (s *Assignments) Load(zone ZoneID) *Assignment {
 	s.mu.RLock()
@@ -42,6 +49,7 @@
 		s.zones = map[ZoneID]*Assignment{}
 	}
 	s.zones[next.Zone] = next
+	s.changes.Add(1)
 	return true
 }
 
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -173,13 +173,14 @@
 		c.id("items.loads.p", id)
 		c.count("items.loads.f", int64(l.InFlight))
 		c.count("items.loads.s", int64(l.Slots))
-		p := PoolLoad{InFlight: l.InFlight, Slots: fleet.Slots(l.Slots)}
-		if len(l.Waiting) > 0 {
-			p.Waiting = make(map[fleet.TeamID]int, len(l.Waiting))
+		c.count("items.loads.o", l.OldestMS)
+		p := PoolLoad{InFlight: l.InFlight, Slots: fleet.Slots(l.Slots), Oldest: clock.Millis(l.OldestMS)}
+		if len(l.Teams) > 0 {
+			p.Teams = make(map[fleet.TeamID]TeamLoad, len(l.Teams))
 		}
-		for t, n := range l.Waiting {
-			c.count("items.loads.w", int64(n))
-			p.Waiting[fleet.TeamID(t)] = n
+		for t, n := range l.Teams {
+			c.count("items.loads.t", int64(min(n[0], n[1])))
+			p.Teams[fleet.TeamID(t)] = TeamLoad{Running: n[0], Waiting: n[1]}
 		}
 		s.Pools[fleet.PoolID(id)] = p
 	}
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -96,12 +96,12 @@
 		Assignment: uint64(s.Assignment), AgeMS: int64(s.Age), Pools: make(map[string]wireLoad, len(s.Pools)),
 	}
 	for id, p := range s.Pools {
-		l := wireLoad{InFlight: p.InFlight, Slots: int(p.Slots)}
-		if len(p.Waiting) > 0 {
-			l.Waiting = make(map[string]int, len(p.Waiting))
+		l := wireLoad{InFlight: p.InFlight, Slots: int(p.Slots), OldestMS: int64(p.Oldest)}
+		if len(p.Teams) > 0 {
+			l.Teams = make(map[string][2]int, len(p.Teams))
 		}
-		for t, n := range p.Waiting {
-			l.Waiting[string(t)] = n
+		for t, n := range p.Teams {
+			l.Teams[string(t)] = [2]int{n.Running, n.Waiting}
 		}
 		w.Pools[string(id)] = l
 	}
--- a/peer/load.go
+++ b/peer/load.go
@@ -7,11 +7,18 @@
 	"citronknot/fleet"
 )
 
+// TeamLoad is what one team has at one member in one pool.
+type TeamLoad struct {
+	Running int
+	Waiting int
+}
+
 // PoolLoad is the load of one member on one pool.
 type PoolLoad struct {
 	InFlight int
 	Slots    fleet.Slots
-	Waiting  map[fleet.TeamID]int
+	Oldest   clock.Millis // longest wait among the requests that are next in their team
+	Teams    map[fleet.TeamID]TeamLoad
 }
 
 // Summary is the load of one member. It lists only pools with load.
--- a/peer/syncer_query.go
+++ b/peer/syncer_query.go
@@ -17,19 +17,27 @@
 }
 
 // Loads returns the load of the other members on a pool, of all with news within 3 s. A member
-// without load on the pool is left out.
+// without load on the pool has a zero load.
 func (s *Syncer) Loads(pool fleet.PoolID) []MemberLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []MemberLoad
 	for _, sum := range s.loads.Live(s.Clock.Now()) {
-		if p, ok := sum.Pools[pool]; ok && sum.Member != s.Self {
-			out = append(out, MemberLoad{Member: sum.Member, Zone: sum.Zone, Age: sum.Age, PoolLoad: p})
+		if sum.Member != s.Self {
+			out = append(out, MemberLoad{Member: sum.Member, Zone: sum.Zone, Age: sum.Age, PoolLoad: sum.Pools[pool]})
 		}
 	}
 	return out
 }
 
+// OwnLoad returns the load of this member on a pool as its peers know it.
+func (s *Syncer) OwnLoad(pool fleet.PoolID) PoolLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum, _ := s.loads.Get(s.Self, s.Clock.Now())
+	return sum.Pools[pool]
+}
+
 // LiveByZone returns the number of members of each zone with news within 3 s, with this one.
 func (s *Syncer) LiveByZone() map[fleet.ZoneID]int {
 	s.mu.Lock()
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -51,9 +51,10 @@
 }
 
 type wireLoad struct {
-	InFlight int            `json:"f"`
-	Slots    int            `json:"s,omitempty"`
-	Waiting  map[string]int `json:"w,omitempty"`
+	InFlight int               `json:"f"`
+	Slots    int               `json:"s,omitempty"`
+	OldestMS int64             `json:"o,omitempty"`
+	Teams    map[string][2]int `json:"t,omitempty"` // running, waiting
 }
 
 type wireStatement struct {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -23,7 +23,7 @@
 export CITRONKNOT_PEER_CREDENTIAL=demo-peer-credential
 for m in a b; do
   n=$([ "$m" = a ] && echo 1 || echo 2)
-  bin/citronknotd --member "entry-$m" --zone "zone-$m" --members 2 \
+  bin/citronknotd --member "entry-$m" --zone "zone-$m" \
     --caller-listen "127.0.0.1:1720$n" --operator-listen "127.0.0.1:1730$n" --peer-listen "127.0.0.1:1740$n" \
     2>"out/demo/citronknotd-$m.log" & pids+=($!)
 done
@@ -35,7 +35,12 @@
     sleep 0.1
   done
 done
-bin/citronknot --url http://127.0.0.1:17301 apply examples/demo.json
+# A new member accepts release notes once every member has acknowledged it, within about 3 s.
+for try in $(seq 20); do
+  bin/citronknot --url http://127.0.0.1:17301 apply examples/demo.json 2>out/demo/apply.log && break
+  [ "$try" -lt 20 ] || { cat out/demo/apply.log >&2; exit 1; }
+  sleep 0.5
+done
 bin/demo --caller http://127.0.0.1:17201 --caller http://127.0.0.1:17202 \
   --operator http://127.0.0.1:17301 --operator http://127.0.0.1:17302 \
   $(printf -- '--target %s ' "${targets[@]}") \
