--- a/target/answer.go
+++ b/target/answer.go
@@ -42,7 +42,7 @@
 // pass copies a verified response to the caller. started reports whether the caller received
 // any of it. A short response is read completely before the caller gets the first byte, so
 // that one that ends early can still be replaced by another response.
-func pass(w http.ResponseWriter, resp *http.Response, q *Request, progress func()) (started bool, err error) {
+func pass(w http.ResponseWriter, resp *http.Response, q *Request, b *body, progress func()) (started bool, err error) {
 	buffer := copyBuffers.Get().(*[copyBuffer]byte)
 	defer copyBuffers.Put(buffer)
 	if n := resp.ContentLength; n >= 0 && n <= copyBuffer {
@@ -50,6 +50,7 @@
 			return false, err
 		}
 		copyHeader(w.Header(), resp.Header, q)
+		b.responding(w.Header())
 		w.WriteHeader(resp.StatusCode)
 		if n > 0 {
 			_, _ = w.Write(buffer[:n])
@@ -57,6 +58,7 @@
 		return true, nil
 	}
 	copyHeader(w.Header(), resp.Header, q)
+	b.responding(w.Header())
 	w.WriteHeader(resp.StatusCode)
 	return true, stream(w, resp, buffer[:], progress)
 }
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -78,7 +78,7 @@
 		o.Result = Mismatched
 		return result{err: err, sent: true}
 	}
-	started, err := pass(x.w, resp, x.q, a.progress)
+	started, err := pass(x.w, resp, x.q, x.body, a.progress)
 	switch {
 	case err != nil && started:
 		o.Result = a.failure(err)
--- a/target/body.go
+++ b/target/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -29,6 +30,34 @@
 	small   *[smallBody]byte
 	large   *[bufferedBody + 1]byte
 	senders []*sender
+	cut     bool // the response began before the whole body was sent
+}
+
+// complete reports whether the transport read the whole body.
+func (b *body) complete() bool {
+	return b.replayable() || len(b.senders) > 0 && b.senders[0].complete()
+}
+
+// responding is called before the header of the response is written to the caller. If the body
+// is not complete, the caller's connection is not used again. Without that, the server would
+// wait for the rest of the body before it writes the response.
+func (b *body) responding(h http.Header) {
+	if !b.complete() {
+		b.cut = true
+		h.Set("Connection", "close")
+	}
+}
+
+// endStream ends a read of the caller's body that the transport still waits in. A connection
+// whose body is complete must not get this deadline: the server's own read of the next request
+// would fail and cancel all further requests on that connection.
+func (b *body) endStream(w http.ResponseWriter, rc *http.ResponseController) {
+	if !b.cut {
+		b.responding(w.Header())
+	}
+	if b.cut {
+		_ = rc.SetReadDeadline(time.Now())
+	}
 }
 
 // release ends all use of the body, also by the transport, and returns its buffer.
@@ -136,8 +165,11 @@
 		defer s.mu.Unlock()
 		return s.head.Read(p)
 	}
+	ended := s.rest == nil || s.ended
 	s.mu.Unlock()
-	if s.rest == nil {
+	if ended {
+		// The transport looks for the end again after the last byte. The caller's body may be
+		// closed by then, and the error would break the connection during the response.
 		return 0, io.EOF
 	}
 	n, err := s.rest.Read(p)
--- a/target/dispatcher.go
+++ b/target/dispatcher.go
@@ -81,11 +81,7 @@
 	}
 	defer b.release()
 	if !b.replayable() {
-		// The target may answer before it has read the whole body, and the server would
-		// otherwise wait for the body before it writes the response.
-		_ = rc.EnableFullDuplex()
-		// Ends a read of the caller's body that the transport still waits in.
-		defer func() { _ = rc.SetReadDeadline(time.Now()) }()
+		defer b.endStream(w, rc)
 	}
 	p := d.pool(q.Pool)
 	p.mu.Lock()
--- a/target/forward_test.go
+++ b/target/forward_test.go
@@ -347,6 +347,34 @@
 	})
 }
 
+// endingBody returns its end with its last bytes and an error after that, like the body of a
+// request whose server has closed it.
+type endingBody struct{ n int }
+
+func (b *endingBody) Read(p []byte) (int, error) {
+	switch n := min(b.n, len(p)); {
+	case b.n == 0:
+		return 0, http.ErrBodyReadAfterClose
+	case n == b.n:
+		b.n = 0
+		return n, io.EOF
+	default:
+		b.n -= n
+		return n, nil
+	}
+}
+
+// The transport reads a streamed body once more after its end. What that read returns must not
+// break the connection while the response arrives.
+func TestReadAfterEndOfBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, serve)
+		o := f.forward(call{body: &endingBody{n: 100 << 10}, length: 100 << 10})
+		must.NoError(t, o.err)
+		test.Eq(t, "ok", o.Body.String())
+	})
+}
+
 // A body over 64 KB is sent once even if the request did not run; a shorter one is sent again
 // unchanged.
 func TestBodyReplay(t *testing.T) {
--- a/target/harness_test.go
+++ b/target/harness_test.go
@@ -174,6 +174,7 @@
 type call struct {
 	idempotent bool
 	body       io.Reader
+	length     int64         // of the body, if its type does not say
 	deadline   time.Duration // 5 s if 0
 	header     http.Header
 	ctx        context.Context
@@ -188,6 +189,9 @@
 		c.ctx = context.Background()
 	}
 	r := httptest.NewRequestWithContext(c.ctx, http.MethodPost, "/", c.body)
+	if c.length > 0 {
+		r.ContentLength = c.length
+	}
 	for k, v := range c.header {
 		r.Header[k] = v
 	}
--- a/target/loopback_test.go
+++ b/target/loopback_test.go
@@ -76,6 +76,7 @@
 	var e *target.Error
 	if errors.As(err, &e) {
 		w.Header().Set("Sent", fmt.Sprint(e.Sent))
+		w.Header().Set("Why", err.Error())
 		w.WriteHeader(http.StatusBadGateway)
 	}
 }
@@ -123,6 +124,27 @@
 	}
 }
 
+// A streamed request must leave its caller's connection usable for the next one.
+func TestConnectionAfterStream(t *testing.T) {
+	l := start(t, startTarget(t, &standin.Target{Slots: 8}))
+	body := strings.Repeat("x", 200<<10)
+	var wait sync.WaitGroup
+	for range 4 {
+		wait.Go(func() {
+			for range 100 {
+				resp, err := l.client.Post(l.entry.URL, "text/plain", strings.NewReader(body))
+				must.NoError(t, err)
+				n, err := io.Copy(io.Discard, resp.Body)
+				must.NoError(t, err)
+				resp.Body.Close()
+				must.Eq(t, http.StatusOK, resp.StatusCode)
+				must.Greater(t, 200<<10, n)
+			}
+		})
+	}
+	wait.Wait()
+}
+
 // Two requests whose responses are swapped must both be told that they may have run.
 func TestSwappedResponses(t *testing.T) {
 	st := &standin.Target{Slots: 8, Work: 20 * time.Millisecond}
@@ -203,6 +225,8 @@
 		})
 	}
 	wait.Wait()
+	l.client.CloseIdleConnections()
+	l.entry.Close() // waits for handlers whose callers already have the response
 	runs := map[string]int{}
 	for _, st := range targets {
 		for _, r := range st.Runs() {
--- a/target/view.go
+++ b/target/view.go
@@ -228,6 +228,16 @@
 	s.views += n
 }
 
+// Acquire selects a target of a pool and counts a request there until release is called. It
+// returns a nil release if no target is usable. Forward does this by itself.
+func (d *Dispatcher) Acquire(id fleet.PoolID) (in fleet.InstanceID, release func()) {
+	s := d.pool(id).acquire(d.Clock.Now(), nil)
+	if s == nil {
+		return "", nil
+	}
+	return s.id, s.finish
+}
+
 // acquire selects a target other than the tried ones and counts a request there. Targets in
 // the member's own zone come first.
 func (p *pool) acquire(now clock.Millis, tried []*state) *state {
