target: prefer own slots and bound borrowing by the peers' summaries

Cause: two choices by own count plus the peers' last summaries had 12% guard refusals at 60% and 23% at 85% utilization in the simulation; the own count alone 4% and 20%. Ruled out: random, disjoint subsets, own part only, other bounds; see docs/design/target-selection.md. Change: each slot belongs to one member; slots of others are borrowed only below 5/8 known use and not after a recent refusal or failure. Conclusion: kept; the simulation runs as a test with bounds.

--- a/target/choose.go
+++ b/target/choose.go
@@ -1,5 +1,7 @@
 package target
 
+import "slices"
+
 // Load is what target selection knows of one target.
 type Load struct {
 	InFlight int     // requests that this member has running there
@@ -23,14 +25,19 @@
 	return (r+1)*slots/members - r*slots/members
 }
 
-// Usable reports whether the target may get another request of this member. A slot beyond the
-// own part is borrowed only while at most half of the target's slots are known to be in use:
-// the peers' summaries are up to a second old, and a borrowed slot may be missing to its owner.
+// A slot beyond the own part is borrowed only while less than 5/8 of the target's slots are
+// known to be in use: the peers' summaries are up to a second old, and a borrowed slot may be
+// missing to its owner. docs/design/target-selection.md compares other bounds.
+const borrowNumerator, borrowDenominator = 5, 8
+
+// Usable reports whether the target may get another request of this member. Nothing is borrowed
+// from a target that failed or refused lately.
 func (l Load) Usable() bool {
 	if l.Ejected || l.InFlight >= l.Limit {
 		return false
 	}
-	return l.InFlight < l.Part || l.Shared || 2*(l.InFlight+l.Peers) < l.Slots
+	return l.InFlight < l.Part || l.Shared ||
+		l.Penalty < 1 && borrowDenominator*(l.InFlight+l.Peers) < borrowNumerator*l.Slots
 }
 
 // Capacity returns how many requests this member can run on the target at once, by what it knows
@@ -42,7 +49,8 @@
 	case l.Shared:
 		return l.Limit
 	}
-	return min(l.Limit, max(l.Part, (l.Slots+1)/2-l.Peers))
+	borrowable := (borrowNumerator*l.Slots + borrowDenominator - 1) / borrowDenominator
+	return min(l.Limit, max(l.Part, borrowable-l.Peers))
 }
 
 // Score orders targets; the lowest is the best. Within the own part the peers do not matter.
@@ -57,56 +65,62 @@
 // draws bounds the random draws before the targets are scanned in order.
 const draws = 4
 
-// Choose returns the better of two random usable targets among n, or -1 if none is usable.
-// random returns a number in [0, n).
-func Choose(n int, load func(int) Load, random func(int) int) int {
-	first, score := -1, 0.0
-	for range min(draws, n) {
-		i := random(n)
-		if i == first {
-			continue
-		}
-		l := load(i)
-		if !l.Usable() {
-			continue
-		}
-		s := l.Score()
-		switch {
-		case first < 0:
-			first, score = i, s
-		case s < score:
-			return i
-		default:
-			return first
-		}
+// candidate is the better of up to two targets.
+type candidate struct {
+	index, seen int
+	score       float64
+}
+
+func (c *candidate) offer(i int, score float64) {
+	if c.seen == 0 || score < c.score {
+		c.index, c.score = i, score
 	}
-	return scan(n, load, random, first, score)
+	c.seen++
 }
 
-// scan completes the two choices in order from a random start, when most targets are unusable.
-func scan(n int, load func(int) Load, random func(int) int, first int, score float64) int {
+// Choose returns the better of two random targets among n in which the member has a free slot
+// of its own part, else the better of two in which it can borrow one, else -1. random returns a
+// number in [0, n).
+func Choose(n int, load func(int) Load, random func(int) int) int {
 	if n == 0 {
 		return -1
 	}
-	start := random(n)
-	for k := range n {
-		i := (start + k) % n
-		if i == first {
+	var own, borrowed candidate
+	var drawn [draws]int
+	for k := range drawn {
+		i := random(n)
+		drawn[k] = i
+		if slices.Contains(drawn[:k], i) {
 			continue
 		}
-		l := load(i)
-		if !l.Usable() {
+		if offer(i, load(i), &own, &borrowed); own.seen == 2 {
+			return own.index
+		}
+	}
+	for k := range n {
+		i := (drawn[0] + k) % n
+		if slices.Contains(drawn[:], i) {
 			continue
 		}
-		s := l.Score()
-		switch {
-		case first < 0:
-			first, score = i, s
-		case s < score:
-			return i
-		default:
-			return first
+		if offer(i, load(i), &own, &borrowed); own.seen == 2 {
+			return own.index
 		}
 	}
-	return first
+	switch {
+	case own.seen > 0:
+		return own.index
+	case borrowed.seen > 0:
+		return borrowed.index
+	}
+	return -1
+}
+
+func offer(i int, l Load, own, borrowed *candidate) {
+	switch {
+	case !l.Usable():
+	case l.InFlight < l.Part:
+		own.offer(i, l.Score())
+	case borrowed.seen < 2:
+		borrowed.offer(i, l.Score())
+	}
 }
--- a/target/comparison_test.go
+++ b/target/comparison_test.go
@@ -245,16 +245,16 @@
 }
 
 // borrow lets a member use slots beyond its part while a part of the target is in use.
-func borrow(part float64) func(*target.Load) {
+func borrow(part float64, notRefused bool) func(*target.Load) {
 	return func(l *target.Load) {
-		if float64(l.InFlight+l.Peers) >= part*float64(l.Slots) {
+		if float64(l.InFlight+l.Peers) >= part*float64(l.Slots) || notRefused && l.Penalty >= 1 {
 			l.Limit = min(l.Limit, l.Part)
 		}
 		l.Shared = true
 	}
 }
 
-const kept = "two choices, own part, borrowing up to 50%"
+const kept = "own part, borrowing up to 62%, not after a refusal"
 
 var selections = []selection{
 	{name: "random, no health", blind: true, pick: func(s *sim, _ *simMember, _ func(int) target.Load) int {
@@ -272,17 +272,14 @@
 	{name: "two choices, own count", pick: twoBy(func(l *target.Load) { l.Peers, l.Part = 0, l.Slots })},
 	{name: "two choices, own count and peers", pick: twoBy(func(l *target.Load) { l.Part, l.Shared = 0, true })},
 	{name: "two choices, own part first", pick: twoBy(func(l *target.Load) { l.Shared = true })},
-	{name: "two choices, own part, borrowing up to 75%", pick: twoBy(borrow(0.75))},
+	{name: "own part, borrowing up to 75%", pick: twoBy(borrow(0.75, false))},
+	{name: "own part, borrowing up to 75%, not after a refusal", pick: twoBy(borrow(0.75, true))},
+	{name: "own part, borrowing up to 62%", pick: twoBy(borrow(0.62, false))},
 	{name: kept, pick: twoBy(func(*target.Load) {})},
-	{name: "two choices, own part, borrowing up to 62%", pick: twoBy(borrow(0.62))},
-	{name: "two choices, own part, borrowing up to 50%, not after a refusal", pick: twoBy(func(l *target.Load) {
-		if l.Penalty >= 1 {
-			l.Limit = min(l.Limit, l.Part)
-		}
-		borrow(0.5)(l)
-	})},
-	{name: "two choices, own part, borrowing up to 25%", pick: twoBy(borrow(0.25))},
-	{name: "two choices, own part only", pick: twoBy(borrow(0))},
+	{name: "own part, borrowing up to 50%", pick: twoBy(borrow(0.5, false))},
+	{name: "own part, borrowing up to 50%, not after a refusal", pick: twoBy(borrow(0.5, true))},
+	{name: "own part, borrowing up to 25%, not after a refusal", pick: twoBy(borrow(0.25, true))},
+	{name: "own part only", pick: twoBy(borrow(0, false))},
 	{name: "disjoint subsets", pick: func(s *sim, m *simMember, load func(int) target.Load) int {
 		k := target.Choose(len(m.subset), func(k int) target.Load {
 			l := load(m.subset[k])
@@ -317,7 +314,7 @@
 			t.Logf("| %s | %.2f%% | %.3f%% | %.2f%% | %.0f |", sel.name,
 				float64(s.refusals)/n, float64(s.lost)/n, float64(s.failing)/n, s.p99())
 		}
-		test.Less(t, results["random"].refusals/4, results[kept].refusals)
+		test.Less(t, results["random"].refusals/8, results[kept].refusals)
 		test.Less(t, results[kept].requests/500, results[kept].failing)
 	}
 }
