Claim requests that are not idempotent before they are sent

Change: the process claims such requests in the table service, replays recorded answers, and does the fleet's housekeeping under the fleet lease. An admitted request waits up to 2 s for a target with a free slot, because admission and target selection disagree for seconds when members come and go.

--- a/entry/process.go
+++ b/entry/process.go
@@ -41,6 +41,8 @@
 	members    *platform.Members
 	escrow     *platform.Escrow
 	denied     chan struct{} // a team was denied a start
+	claims     *platform.Claims
+	fleetLease *platform.Lease
 	follower   *peer.Follower
 	syncer     *peer.Syncer
 	admission  *caller.Admission
@@ -86,6 +88,8 @@
 	p.escrow = &platform.Escrow{
 		Table: table, Clock: p.clock, Members: p.members, Zone: fleet.ZoneID(s.Zone), Config: p.current.Load,
 	}
+	p.claims = &platform.Claims{Table: table, Clock: p.clock, Self: p.members.Self.ID}
+	p.fleetLease = &platform.Lease{Table: table, Clock: p.clock, Name: "fleet", Self: p.members.Self.ID}
 }
 
 func (p *Process) connectPeers() {
@@ -121,8 +125,8 @@
 
 func (p *Process) callerServer() *http.Server {
 	s := &caller.Server{
-		Clock: p.clock, Config: p.current.Load, Fresh: p.fresh, Acquire: p.admission.Acquire, Forward: p.forward,
-		Log: p.log, Metrics: p.metrics,
+		Clock: p.clock, Config: p.current.Load, Fresh: p.fresh, Acquire: p.admission.Acquire, Claim: p.claim,
+		Forward: p.forward,		Log: p.log, Metrics: p.metrics,
 	}
 	return &http.Server{
 		Handler:           s.Handler(),
@@ -205,6 +209,11 @@
 	p.goRun(func() { p.list.run(ctx, p.client, p.log) })
 	p.goRun(func() { p.members.Run(ctx) })
 	p.goRun(func() { p.rebalance(ctx) })
+	p.goRun(func() { p.claims.Run(ctx) })
+	p.goRun(func() { p.fleetLease.Run(ctx) })
+	p.goRun(func() { p.tend(ctx) })
+	expiry := &platform.ClaimExpiry{Table: p.client.Table(), Clock: p.clock, Lease: p.fleetLease, Teams: p.claimTeams}
+	p.goRun(func() { expiry.Run(ctx) })
 	p.goRun(func() { p.syncer.Run(ctx) })
 	p.goRun(func() { p.tick(ctx) })
 	p.accepting.Store(true)
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -1,12 +1,15 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"citronknot/caller"
 	"citronknot/clock"
 	"citronknot/fleet"
+	"citronknot/platform"
 	"citronknot/target"
 )
 
@@ -19,21 +22,95 @@
 
 func (p *Process) share(t fleet.TeamID) fleet.Share { return p.current.Load().Teams[t].Share }
 
+// targetRetry is the time between two looks for a target with a free slot. Admission and target
+// selection can disagree for some seconds when members come and go; a request that was admitted
+// waits for a slot rather than being refused.
+const (
+	targetRetry = 5 * time.Millisecond
+	targetWait  = 2 * time.Second
+)
+
 func (p *Process) forward(w http.ResponseWriter, r *http.Request, q *caller.Request) (caller.Outcome, error) {
-	err := p.dispatcher.Forward(w, r, target.Request{
+	out := target.Request{
 		ID: q.ID, Team: q.Team, Queue: q.Queue.ID, Pool: q.Queue.Pool, IdempotencyKey: q.IdempotencyKey,
 		Idempotent: q.Queue.Idempotent, Deadline: q.Deadline,
-	})
+	}
+	var te *target.Error
+	err := p.dispatcher.Forward(w, r, out)
+	for giveUp := time.Now().Add(targetWait); errors.As(err, &te) && te.Attempts == 0 && time.Now().Before(giveUp); {
+		select {
+		case <-r.Context().Done():
+			return caller.NotRun, failed(err)
+		case <-time.After(targetRetry):
+		}
+		if p.clock.Now() >= q.Deadline {
+			break
+		}
+		err = p.dispatcher.Forward(w, r, out)
+	}
 	if err == nil {
 		return caller.Ran, nil
 	}
-	problem := &caller.Problem{
+	problem := failed(err)
+	return problem.Run, problem
+}
+
+// failed describes a request that got no answer from a target.
+func failed(err error) *caller.Problem {
+	p := &caller.Problem{
 		Status: http.StatusBadGateway, Title: "no answer from a target", Detail: err.Error(), Run: caller.Unknown, Reason: "target",
 	}
 	var te *target.Error
 	if errors.As(err, &te) && !te.Sent {
-		problem.Run, problem.FailedStarts = caller.NotRun, te.Attempts
-		problem.Status = http.StatusServiceUnavailable
+		p.Status, p.Run, p.FailedStarts = http.StatusServiceUnavailable, caller.NotRun, te.Attempts
+	}
+	return p
+}
+
+var outcomes = map[caller.Outcome]platform.Outcome{
+	caller.Ran: platform.OutcomeRan, caller.NotRun: platform.OutcomeNotRun, caller.Unknown: platform.OutcomeUnknown,
+}
+
+// claim records that a request that is not idempotent is about to run.
+func (p *Process) claim(ctx context.Context, q *caller.Request) (func(caller.Outcome, *caller.Answer), error) {
+	c, err := p.claims.Claim(ctx, platform.ClaimRequest{
+		Team: q.Team, Queue: q.Queue.ID, IdempotencyKey: q.IdempotencyKey, Request: q.ID,
+	})
+	if err != nil {
+		return nil, claimProblem(err)
+	}
+	return func(o caller.Outcome, a *caller.Answer) {
+		var recorded *platform.RecordedAnswer
+		if a != nil {
+			recorded = &platform.RecordedAnswer{Status: a.Status, Header: a.Header, Body: a.Body}
+		}
+		c.Settle(outcomes[o], recorded)
+	}, nil
+}
+
+// claimProblem answers a repeat of a request, or one that could not be claimed.
+func claimProblem(err error) error {
+	var ce *platform.ClaimError
+	if !errors.As(err, &ce) {
+		return err
+	}
+	switch ce.State {
+	case platform.ClaimRanAlready:
+		if ce.Answer != nil {
+			return &caller.RecordedError{Answer: caller.Answer{Status: ce.Answer.Status, Header: ce.Answer.Header, Body: ce.Answer.Body}}
+		}
+		return &caller.Problem{
+			Status: http.StatusConflict, Title: "ran already", Run: caller.Ran, Reason: "repeat",
+			Detail: "the request ran under this idempotency key; its answer was not recorded",
+		}
+	case platform.ClaimStoreUnavailable:
+		return &caller.Problem{
+			Status: http.StatusServiceUnavailable, Title: "the request could not be claimed", Run: caller.NotRun, Reason: "claim",
+			Detail: "the platform's table service is out of reach",
+		}
+	}
+	return &caller.Problem{
+		Status: http.StatusConflict, Title: "claimed by another request", Run: caller.Unknown, Reason: "repeat",
+		Detail: "a request with this idempotency key is running, or its outcome is unknown",
 	}
-	return problem.Run, problem
 }
--- /dev/null
+++ b/entry/tend.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"citronknot/fleet"
+	"citronknot/platform"
+)
+
+// tendEvery is the time between two rounds of the fleet's housekeeping.
+const tendEvery = 10 * time.Second
+
+// tend does the fleet's housekeeping while this member holds the fleet lease: snapshots of the
+// configuration and removal of members that are gone.
+func (p *Process) tend(ctx context.Context) {
+	table := p.client.Table()
+	snapshots := &platform.Snapshots{Table: table, Objects: p.client.Objects()}
+	ticker := time.NewTicker(tendEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		fence, held := p.fleetLease.Held()
+		if !held {
+			continue
+		}
+		if _, err := snapshots.Save(ctx, p.current.Load(), fence); err != nil && ctx.Err() == nil {
+			p.log.Warn("entry: snapshot not saved", "err", err)
+		}
+		p.removeMembers(ctx, fence)
+	}
+}
+
+// claimTeams returns the teams whose claims expire. The empty team is that of open queues.
+func (p *Process) claimTeams() []fleet.TeamID {
+	return append(slices.Collect(maps.Keys(p.current.Load().Teams)), "")
+}
+
+// removeMembers takes members off the list that the platform's list shows as gone.
+func (p *Process) removeMembers(ctx context.Context, fence platform.Check) {
+	for _, m := range p.members.List() {
+		if !p.list.gone(fleet.InstanceID(m.ID)) {
+			continue
+		}
+		removed, err := p.members.Remove(ctx, m.ID, fence)
+		switch {
+		case err != nil && ctx.Err() == nil:
+			p.log.Warn("entry: member not removed", "member", m.ID, "err", err)
+		case removed:
+			p.log.Info("entry: member removed", "member", m.ID)
+		}
+	}
+}
