Fit the exchange to the budget at 150 members and measure it

Cause: at 150 members the first version took 43.8 KB/s and 2.28% of a core for each member; in an outage all members asked all others at once and the configuration was fresh 17.6% of the time. Ruled out: names once per message alone (41.1 KB/s); summaries each 1.5 s. Change: arrays and one list of names on the wire; above 50 members a summary each 20 ms times the members, dropped after twice that and 1 s, and load entries in every second exchange; in an outage about 3 members start a round in each tick and the others ask 2 more peers.

--- a/peer/decode.go
+++ b/peer/decode.go
@@ -100,12 +100,16 @@
 }
 
 func (c *checker) vector(w wireVector) Vector {
-	c.size("vec.load", len(w.Loads), maxIDs)
+	c.size("vec.load", len(w.Members), maxIDs)
 	v := Vector{Config: fleet.Version(w.Config), Zones: c.versions("vec.zone", w.Zones), Partial: w.Partial}
-	v.Loads = make(map[fleet.MemberID]Stamp, len(w.Loads))
-	for id, s := range w.Loads {
+	if len(w.Stamps) != 2*len(w.Members) {
+		c.fail("vec.at", fmt.Sprint(len(w.Stamps)), "two numbers for each member")
+		return v
+	}
+	v.Loads = make(map[fleet.MemberID]Stamp, len(w.Members))
+	for i, id := range w.Members {
 		c.id("vec.load", id)
-		v.Loads[fleet.MemberID(id)] = Stamp{Epoch: s[0], Seq: s[1]}
+		v.Loads[fleet.MemberID(id)] = Stamp{Epoch: w.Stamps[2*i], Seq: w.Stamps[2*i+1]}
 	}
 	return v
 }
@@ -137,8 +141,11 @@
 	for _, a := range w.Assignments {
 		out.Assignments = append(out.Assignments, c.assignment(a))
 	}
+	for _, name := range w.Names {
+		c.id("items.names", name)
+	}
 	for _, s := range w.Loads {
-		out.Loads = append(out.Loads, c.summary(s))
+		out.Loads = append(out.Loads, c.summary(s, w.Names))
 	}
 	return out
 }
@@ -162,26 +169,37 @@
 	return out
 }
 
-func (c *checker) summary(w wireSummary) Summary {
+func (c *checker) summary(w wireSummary, names []string) Summary {
 	c.id("items.loads.m", w.Member)
 	c.count("items.loads.age", w.AgeMS)
 	s := Summary{
-		Member: fleet.MemberID(w.Member), Zone: fleet.ZoneID(w.Zone), Stamp: Stamp{Epoch: w.Epoch, Seq: w.Seq},
+		Member: fleet.MemberID(w.Member), Zone: fleet.ZoneID(c.name(w.Zone, names)), Stamp: Stamp{Epoch: w.Epoch, Seq: w.Seq},
 		Assignment: fleet.Version(w.Assignment), Age: clock.Millis(w.AgeMS), Pools: make(map[fleet.PoolID]PoolLoad, len(w.Pools)),
 	}
-	for id, l := range w.Pools {
-		c.id("items.loads.p", id)
-		c.count("items.loads.f", int64(l.InFlight))
-		c.count("items.loads.s", int64(l.Slots))
-		p := PoolLoad{InFlight: l.InFlight, Slots: fleet.Slots(l.Slots)}
-		if len(l.Waiting) > 0 {
-			p.Waiting = make(map[fleet.TeamID]int, len(l.Waiting))
+	for _, l := range w.Pools {
+		if len(l) < 3 || len(l)%2 == 0 {
+			c.fail("items.loads.p", fmt.Sprint(len(l)), "an odd number of numbers from 3")
+			return s
+		}
+		for _, n := range l {
+			c.count("items.loads.p", int64(n))
 		}
-		for t, n := range l.Waiting {
-			c.count("items.loads.w", int64(n))
-			p.Waiting[fleet.TeamID(t)] = n
+		p := PoolLoad{InFlight: l[1], Slots: fleet.Slots(l[2])}
+		for i := 3; i < len(l); i += 2 {
+			if p.Waiting == nil {
+				p.Waiting = make(map[fleet.TeamID]int, len(l)/2)
+			}
+			p.Waiting[fleet.TeamID(c.name(l[i], names))] = l[i+1]
 		}
-		s.Pools[fleet.PoolID(id)] = p
+		s.Pools[fleet.PoolID(c.name(l[0], names))] = p
 	}
 	return s
 }
+
+func (c *checker) name(i int, names []string) string {
+	if i < 0 || i >= len(names) {
+		c.fail("items.loads", fmt.Sprint(i), "an index in items.names")
+		return ""
+	}
+	return names[i]
+}
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 
 	"github.com/rotisserie/eris"
 
@@ -52,11 +54,10 @@
 
 func encodeVector(v Vector) wireVector {
 	w := wireVector{Config: uint64(v.Config), Zones: encodeVersions(v.Zones), Partial: v.Partial}
-	if len(v.Loads) > 0 {
-		w.Loads = make(map[string][2]uint64, len(v.Loads))
-	}
-	for id, s := range v.Loads {
-		w.Loads[string(id)] = [2]uint64{s.Epoch, s.Seq}
+	// Sorted ids are compressed to a third of unsorted ones.
+	for _, id := range slices.Sorted(maps.Keys(v.Loads)) {
+		w.Members = append(w.Members, string(id))
+		w.Stamps = append(w.Stamps, v.Loads[id].Epoch, v.Loads[id].Seq)
 	}
 	return w
 }
@@ -84,26 +85,44 @@
 		}
 		w.Assignments = append(w.Assignments, a)
 	}
+	var list names
 	for _, s := range it.Loads {
-		w.Loads = append(w.Loads, encodeSummary(s))
+		w.Loads = append(w.Loads, list.summary(s))
 	}
+	w.Names = list.list
 	return w, nil
 }
 
-func encodeSummary(s Summary) wireSummary {
+// names numbers the names that a message mentions.
+type names struct {
+	list  []string
+	index map[string]int
+}
+
+func (n *names) of(name string) int {
+	i, ok := n.index[name]
+	if !ok {
+		if n.index == nil {
+			n.index = map[string]int{}
+		}
+		i = len(n.list)
+		n.index[name] = i
+		n.list = append(n.list, name)
+	}
+	return i
+}
+
+func (n *names) summary(s Summary) wireSummary {
 	w := wireSummary{
-		Member: string(s.Member), Zone: string(s.Zone), Epoch: s.Stamp.Epoch, Seq: s.Stamp.Seq,
-		Assignment: uint64(s.Assignment), AgeMS: int64(s.Age), Pools: make(map[string]wireLoad, len(s.Pools)),
+		Member: string(s.Member), Zone: n.of(string(s.Zone)), Epoch: s.Stamp.Epoch, Seq: s.Stamp.Seq,
+		Assignment: uint64(s.Assignment), AgeMS: int64(s.Age), Pools: make([][]int, 0, len(s.Pools)),
 	}
 	for id, p := range s.Pools {
-		l := wireLoad{InFlight: p.InFlight, Slots: int(p.Slots)}
-		if len(p.Waiting) > 0 {
-			l.Waiting = make(map[string]int, len(p.Waiting))
-		}
-		for t, n := range p.Waiting {
-			l.Waiting[string(t)] = n
+		l := []int{n.of(string(id)), p.InFlight, int(p.Slots)}
+		for t, waiting := range p.Waiting {
+			l = append(l, n.of(string(t)), waiting)
 		}
-		w.Pools[string(id)] = l
+		w.Pools = append(w.Pools, l)
 	}
 	return w
 }
--- a/peer/http.go
+++ b/peer/http.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -23,6 +24,9 @@
 	maxBody = 8 << 20
 	// gzipFrom is the size from which a text is compressed. Below it a message fits one packet.
 	gzipFrom = 700
+	// gzipLevel is the lowest level with lazy matching, which suits the many numbers of vectors
+	// and load summaries.
+	gzipLevel = 4
 	// maxAnswers bounds the messages that are read and answered at the same time.
 	maxAnswers = 64
 
@@ -76,6 +80,7 @@
 	}
 	out, encoding := pack(out)
 	w.Header().Set("Content-Type", "application/json")
+	w.Header()["Date"] = nil // not sent; no member reads it
 	if encoding != "" {
 		w.Header().Set("Content-Encoding", encoding)
 	}
@@ -89,12 +94,24 @@
 	return ok && s.Credential != "" && subtle.ConstantTimeCompare(want[:], got[:]) == 1
 }
 
+// NewTransport returns a transport for calls to other members. A member meets each of 149 peers
+// every 25 s on average, so that connections are kept only for the messages of an exchange and
+// for its repeat in a small fleet.
+func NewTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConns:        32,
+		MaxIdleConnsPerHost: 2,
+		IdleConnTimeout:     10 * time.Second,
+		DisableCompression:  true, // Client packs and unpacks within its bounds
+	}
+}
+
 // Client sends messages to the peer listeners of other members.
 type Client struct {
 	Credential string
 	Scheme     string       // "http" or "https"; empty means "http"
 	Timeout    clock.Millis // of one call; 0 means 700
-	HTTP       *http.Client // nil means http.DefaultClient
+	HTTP       *http.Client // nil means http.DefaultClient; see [NewTransport]
 }
 
 // Call sends m to a member and returns its answer.
@@ -121,6 +138,7 @@
 	req.Header.Set("Authorization", "Bearer "+c.Credential)
 	// Set by hand, so that net/http neither sends its own header nor unpacks without a bound.
 	req.Header.Set("Accept-Encoding", "gzip")
+	req.Header.Set("User-Agent", "") // not sent; members know each other
 	if encoding != "" {
 		req.Header.Set("Content-Encoding", encoding)
 	}
@@ -164,7 +182,7 @@
 
 // Writers are reused, because each one allocates more than 1 MB.
 var writers = sync.Pool{New: func() any {
-	z, _ := gzip.NewWriterLevel(io.Discard, gzip.BestSpeed)
+	z, _ := gzip.NewWriterLevel(io.Discard, gzipLevel)
 	return z
 }}
 
--- a/peer/load.go
+++ b/peer/load.go
@@ -25,8 +25,7 @@
 }
 
 const (
-	// silence is the time without news after which a member's summary is dropped.
-	silence clock.Millis = 3000
+	defaultSilence clock.Millis = 3000
 	// stampLife is the time for which the stamp of a dropped summary is remembered, so that a
 	// peer that lags does not bring the summary back.
 	stampLife clock.Millis = 60_000
@@ -34,6 +33,8 @@
 
 // Loads holds the latest load summary of each member. It is not safe for concurrent use.
 type Loads struct {
+	Silence clock.Millis // without news after which a member's summary is dropped; 0 means 3000
+
 	held map[fleet.MemberID]heldLoad
 }
 
@@ -56,19 +57,26 @@
 	return true
 }
 
-// Expire drops the summaries of members without news for 3 s.
+// Expire drops the summaries of members without news.
 func (l *Loads) Expire(now clock.Millis) {
 	for id, h := range l.held {
 		switch {
 		case now-h.at > stampLife:
 			delete(l.held, id)
-		case now-h.at > silence:
+		case now-h.at > l.silence():
 			h.summary.Pools = nil
 			l.held[id] = h
 		}
 	}
 }
 
+func (l *Loads) silence() clock.Millis {
+	if l.Silence > 0 {
+		return l.Silence
+	}
+	return defaultSilence
+}
+
 // Stamps returns the stamp of each known summary.
 func (l *Loads) Stamps() map[fleet.MemberID]Stamp {
 	out := make(map[fleet.MemberID]Stamp, len(l.held))
@@ -81,7 +89,7 @@
 // Get returns the summary of a member with its age.
 func (l *Loads) Get(id fleet.MemberID, now clock.Millis) (Summary, bool) {
 	h, ok := l.held[id]
-	if !ok || now-h.at > silence {
+	if !ok || now-h.at > l.silence() {
 		return Summary{}, false
 	}
 	s := h.summary
@@ -89,7 +97,7 @@
 	return s, true
 }
 
-// Live returns the summaries of all members with news within 3 s.
+// Live returns the summaries of all members with news.
 func (l *Loads) Live(now clock.Millis) []Summary {
 	var out []Summary
 	for id := range l.held {
--- a/peer/message.go
+++ b/peer/message.go
@@ -73,7 +73,22 @@
 	return w
 }
 
-// publishEvery returns the time between two load summaries of a member. With more than 100
+// publishEvery returns the time between two load summaries of a member. With more than 50
 // members it grows with their number, so that the summaries that each member receives stay
-// under 100 a second.
-func publishEvery(members int) clock.Millis { return max(Period, clock.Millis(10*members)) }
+// under 50 a second, which the budget of 20 KB a second allows.
+func publishEvery(members int) clock.Millis { return max(Period, clock.Millis(20*members)) }
+
+// silentAfter returns the time without news after which a member's summary is dropped: 3 s, or
+// in a large fleet the time in which two summaries are made and passed on.
+func silentAfter(members int) clock.Millis {
+	return max(defaultSilence, 2*publishEvery(members)+Period)
+}
+
+// loadTicks returns the number of periodic exchanges of which one carries load entries. With
+// more than 50 members it is every second one, since entries change less often there.
+func loadTicks(members int) int {
+	if members > 50 {
+		return 2
+	}
+	return 1
+}
--- a/peer/syncer.go
+++ b/peer/syncer.go
@@ -20,9 +20,13 @@
 	// maxLegs bounds the messages of one exchange: 1 for the vectors, 3 with up to 100 notes each.
 	maxLegs = 4
 	// roundAfter is the age of the configuration from which a member that does not reach the
-	// table service asks all members. A random part of roundSpread is added, so that few
-	// members ask and the others get the confirmation from them.
-	roundAfter, roundSpread clock.Millis = 1000, 500
+	// table service looks for a confirmation: it asks askExtra more peers in each tick, and
+	// starts a round with a probability that lets roundStarts members start one in each tick.
+	// The others get the confirmation from them; rounds of all members would be 22,000 messages
+	// a second at 150 members.
+	roundAfter  clock.Millis = 1000
+	askExtra    int          = 2
+	roundStarts int          = 3
 	// roundBound ends a round well before the configuration is 3 s old.
 	roundBound clock.Millis = 1500
 )
@@ -45,6 +49,8 @@
 	// Call sends a message to a member and returns the answer, as [Client.Call].
 	Call func(context.Context, Member, Message) (Message, error)
 
+	ticks int // counted by Run
+
 	once    sync.Once
 	changed chan struct{}
 	calls   chan struct{} // holds a token for each exchange under way
@@ -134,12 +140,16 @@
 	s.mu.Lock()
 	s.loads.Expire(now)
 	s.keepLocked(peers)
+	s.loads.Silence = silentAfter(len(peers) + 1)
 	due := s.seq == 0 || now-s.published >= publishEvery(len(peers)+1)
 	s.mu.Unlock()
 	if due {
 		s.publishLoad(now)
 	}
 	own := s.vector()
+	if s.ticks++; s.ticks%loadTicks(len(peers)+1) != 0 {
+		own.Partial, own.Loads = true, nil
+	}
 	reaches := s.Follower.Statement().Reaches
 	s.mu.Lock()
 	chosen := s.schedule.OnTick(now, 1, own, !reaches, ids(peers), rand.IntN)
@@ -147,7 +157,7 @@
 	for _, id := range chosen {
 		s.start(ctx, peers[id], own)
 	}
-	s.startRound(ctx)
+	s.confirm(ctx, peers)
 }
 
 // keepLocked forgets the members that are not registered any more or are gone.
@@ -310,14 +320,19 @@
 	zone[sum.Member] = max(zone[sum.Member], sum.Assignment)
 }
 
-// startRound asks all members to confirm the configuration if the table service is not
-// reached and no peer confirmed it lately.
-func (s *Syncer) startRound(ctx context.Context) {
+// confirm looks for a confirmation if the table service is not reached and no peer confirmed
+// the configuration lately.
+func (s *Syncer) confirm(ctx context.Context, peers map[fleet.MemberID]Member) {
 	age, ok := s.Follower.Age()
-	if st := s.Follower.Statement(); !ok || st.Reaches || !st.Started {
+	st := s.Follower.Statement()
+	if st.Reaches || !st.Started || ok && age < roundAfter {
 		return
 	}
-	if age < roundAfter+clock.Millis(rand.Int64N(int64(roundSpread))) {
+	// Each call ends within its deadline, so that at most a few ticks' questions are under way.
+	for _, id := range pick(ids(peers), askExtra, rand.IntN, func(fleet.MemberID) bool { return true }) {
+		s.work.Go(func() { _, _ = s.ask(ctx, peers[id], Message{From: s.Self}) })
+	}
+	if rand.IntN(len(peers)+1) >= roundStarts {
 		return
 	}
 	s.mu.Lock()
--- a/peer/syncer_query.go
+++ b/peer/syncer_query.go
@@ -16,7 +16,8 @@
 	PoolLoad
 }
 
-// Loads returns the load of the other members on a pool, of all with news within 3 s. A member
+// Loads returns the load of the other members on a pool, of all with news within 3 s (7 s
+// at 150 members). A member
 // without load on the pool is left out.
 func (s *Syncer) Loads(pool fleet.PoolID) []MemberLoad {
 	s.mu.Lock()
@@ -30,7 +31,8 @@
 	return out
 }
 
-// LiveByZone returns the number of members of each zone with news within 3 s, with this one.
+// LiveByZone returns the number of members of each zone with news within 3 s (7 s at
+// 150 members), with this one.
 func (s *Syncer) LiveByZone() map[fleet.ZoneID]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -2,7 +2,9 @@
 
 import "encoding/json"
 
-// Field names are short, because a vector is sent several times a second.
+// Vectors and load summaries are most of what members send. They are kept as arrays with short
+// field names, and the names in load summaries are listed once in a message, which takes less
+// than half of the bytes and of the processor time of nested objects.
 
 type wireMessage struct {
 	From      string         `json:"from"`
@@ -13,10 +15,11 @@
 }
 
 type wireVector struct {
-	Config  uint64               `json:"config,omitempty"`
-	Zones   map[string]uint64    `json:"zone,omitempty"`
-	Loads   map[string][2]uint64 `json:"load,omitempty"` // epoch, sequence number
-	Partial bool                 `json:"partial,omitempty"`
+	Config  uint64            `json:"config,omitempty"`
+	Zones   map[string]uint64 `json:"zone,omitempty"`
+	Members []string          `json:"load,omitempty"`
+	Stamps  []uint64          `json:"at,omitempty"` // epoch and sequence number of each member
+	Partial bool              `json:"partial,omitempty"`
 }
 
 type wireWants struct {
@@ -29,6 +32,7 @@
 type wireItems struct {
 	Notes       []json.RawMessage `json:"notes,omitempty"`
 	Assignments []wireAssignment  `json:"assignments,omitempty"`
+	Names       []string          `json:"names,omitempty"` // zones, pools and teams of Loads
 	Loads       []wireSummary     `json:"loads,omitempty"`
 }
 
@@ -41,19 +45,15 @@
 }
 
 type wireSummary struct {
-	Member     string              `json:"m"`
-	Zone       string              `json:"z"`
-	Epoch      uint64              `json:"e"`
-	Seq        uint64              `json:"n"`
-	Assignment uint64              `json:"a,omitempty"`
-	AgeMS      int64               `json:"age,omitempty"`
-	Pools      map[string]wireLoad `json:"p,omitempty"`
-}
-
-type wireLoad struct {
-	InFlight int            `json:"f"`
-	Slots    int            `json:"s,omitempty"`
-	Waiting  map[string]int `json:"w,omitempty"`
+	Member     string `json:"m"`
+	Zone       int    `json:"z"` // index in names
+	Epoch      uint64 `json:"e"`
+	Seq        uint64 `json:"n"`
+	Assignment uint64 `json:"a,omitempty"`
+	AgeMS      int64  `json:"age,omitempty"`
+	// Pools holds for each pool its index in names, in-flight and slots, then for each team with
+	// waiting requests its index in names and their number.
+	Pools [][]int `json:"p,omitempty"`
 }
 
 type wireStatement struct {
