--- a/entry/process.go
+++ b/entry/process.go
@@ -102,7 +102,7 @@
 		scheme = "https"
 	}
 	client := &peer.Client{
-		Credential: p.settings.PeerCredential, Scheme: scheme, HTTP: &http.Client{},
+		Credential: p.settings.PeerCredential, Scheme: scheme, HTTP: &http.Client{Transport: peer.NewTransport()},
 	}
 	p.syncer = &peer.Syncer{
 		Self: p.members.Self.ID, Zone: p.members.Self.Zone, Clock: p.clock, Logger: p.log,
@@ -126,7 +126,7 @@
 func (p *Process) callerServer() *http.Server {
 	s := &caller.Server{
 		Clock: p.clock, Config: p.current.Load, Fresh: p.fresh, Acquire: p.admission.Acquire, Claim: p.claim,
-		Forward: p.forward,		Log: p.log, Metrics: p.metrics,
+		Forward: p.forward, Log: p.log, Metrics: p.metrics,
 	}
 	return &http.Server{
 		Handler:           s.Handler(),
--- a/peer/syncer_query.go
+++ b/peer/syncer_query.go
@@ -16,8 +16,8 @@
 	PoolLoad
 }
 
-// Loads returns the load of the other members on a pool, of all with news within 3 s. A member
-// without load on the pool has a zero load.
+// Loads returns the load of the other members on a pool, of all with news within 3 s (7 s at
+// 150 members). A member without load on the pool has a zero load.
 func (s *Syncer) Loads(pool fleet.PoolID) []MemberLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -38,7 +38,8 @@
 	return sum.Pools[pool]
 }
 
-// LiveByZone returns the number of members of each zone with news within 3 s, with this one.
+// LiveByZone returns the number of members of each zone with news within 3 s (7 s at
+// 150 members), with this one.
 func (s *Syncer) LiveByZone() map[fleet.ZoneID]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
