target: detect silent connections under short deadlines

Cause: a request whose deadline is below the silence timeout never marked its connection or its target, and reads of a body after the end of an attempt restarted its silence timer. Change: a deadline that passes after 3 times the pool's p99, and at least 100 ms, counts as silence; the timer ends with the attempt. Mutation (overdue attempts not judged): TestSilenceUnderShortDeadlines fails.

--- a/target/attempt.go
+++ b/target/attempt.go
@@ -39,6 +39,7 @@
 	// guarded by usage.mu
 	sentAt  clock.Millis
 	settled bool // the header of the response was received, or the attempt ended
+	ended   bool
 	silent  bool // the silence timeout passed
 	retry   bool // the attempt was cancelled for a retry
 }
@@ -52,7 +53,7 @@
 	o := Observation{Pool: x.q.Pool, Target: s.id, Attempt: n, Result: Broken}
 	reuse := false
 	defer func() {
-		a.timer.Stop()
+		a.end()
 		s.put(a.conn, reuse && a.sender.complete(), x.d.Clock.Now())
 		s.finish()
 		cancel(nil)
@@ -127,8 +128,22 @@
 	a.progress()
 }
 
-// progress restarts the silence timeout.
-func (a *attempt) progress() { a.timer.Reset(a.silence) }
+// progress restarts the silence timeout. The transport may still read the request body, and so
+// call it, after the attempt ended.
+func (a *attempt) progress() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.ended {
+		a.timer.Reset(a.silence)
+	}
+}
+
+func (a *attempt) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ended = true
+	a.timer.Stop()
+}
 
 // onSilence runs when nothing was received for the silence timeout. It abandons the connection
 // and the older ones. An idempotent request is tried again if the budget allows; any other
@@ -136,6 +151,9 @@
 func (a *attempt) onSilence() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.ended {
+		return
+	}
 	a.target.abandon(a.conn, a.sentAt)
 	a.silent = true
 	if a.settled || a.last || !a.x.q.Idempotent || !a.x.body.replayable() || a.x.ctx.Err() != nil {
@@ -156,12 +174,23 @@
 		return Cancelled
 	case a.silent:
 		return Silent
+	case errors.Is(a.x.ctx.Err(), context.DeadlineExceeded) && a.overdue():
+		// A deadline shorter than the silence timeout would otherwise hide silent connections.
+		a.target.abandon(a.conn, a.sentAt)
+		return Silent
 	case a.x.ctx.Err() != nil:
 		return Cancelled
 	}
 	return Broken
 }
 
+// overdue reports whether the attempt took longer than the pool's responses do.
+func (a *attempt) overdue() bool {
+	a.x.p.mu.Lock()
+	defer a.x.p.mu.Unlock()
+	return a.sentAt > 0 && a.x.p.latencies.Overdue(a.x.d.Clock.Now()-a.sentAt)
+}
+
 // record updates the target's health and the pool's latencies and reports the observation.
 func (a *attempt) record(o *Observation, start clock.Millis) {
 	now := a.x.d.Clock.Now()
--- a/target/latency.go
+++ b/target/latency.go
@@ -9,6 +9,7 @@
 const (
 	silenceMinimum clock.Millis = 1000
 	silenceFactor               = 3
+	overdueMinimum clock.Millis = 100
 	latencyRefresh clock.Millis = 1000
 	latencyHalf    clock.Millis = 10_000
 	latencySamples              = 100 // fewer samples have no 99th percentile
@@ -49,6 +50,13 @@
 // silent: 3 times the pool's 99th percentile, and at least 1 s.
 func (l *Latencies) Silence() clock.Millis { return max(silenceMinimum, silenceFactor*l.p99) }
 
+// Overdue reports whether a request without a response for some time is slower than the pool's
+// requests are known to be. It needs samples, unlike Silence, and at least 100 ms, because a
+// busy member alone can cause shorter delays.
+func (l *Latencies) Overdue(waited clock.Millis) bool {
+	return l.total >= latencySamples && waited >= max(overdueMinimum, silenceFactor*l.p99)
+}
+
 func (l *Latencies) percentile() clock.Millis {
 	if l.total < latencySamples {
 		return l.p99
--- a/target/silence_test.go
+++ b/target/silence_test.go
@@ -78,6 +78,45 @@
 	})
 }
 
+// Requests whose deadline is shorter than the silence timeout must also end the use of silent
+// connections.
+func TestSilenceUnderShortDeadlines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var silent atomic.Bool
+		var open atomic.Int32
+		f := newFixture(t, func(_ int, c *peerConn) {
+			old := !silent.Load()
+			for {
+				id, _, ok := c.request()
+				if !ok {
+					return
+				}
+				if open.Add(1) <= 4 {
+					time.Sleep(10 * time.Millisecond) // keeps four connections busy at once
+				}
+				if silent.Load() && old {
+					continue
+				}
+				c.answer(id)
+			}
+		})
+		for range 4 {
+			go f.forward(call{})
+		}
+		time.Sleep(20 * time.Millisecond)
+		must.Eq(t, 4, f.State()[0].Idle)
+		for range 200 {
+			must.NoError(t, f.forward(call{}).err)
+		}
+		silent.Store(true)
+		time.Sleep(time.Millisecond)
+		test.True(t, f.forward(call{deadline: 200 * time.Millisecond}).sent())
+		test.Eq(t, 0, f.State()[0].Idle)
+		test.Eq(t, 1, f.State()[0].Failures)
+		must.NoError(t, f.forward(call{deadline: 200 * time.Millisecond}).err)
+	})
+}
+
 // A response that comes after the silence timeout still answers its own request.
 func TestSlowIsNotLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
