Let the stand-in platform limit rates and lose or delay commits

Cause: clients of the platform were tested with lost answers only; freeze_ms was read and had no effect. Ruled out: random faults in the stand-in, whose runs would not repeat; one_in hits every n-th commit instead. Mutations seen to fail: loss before without a loss; late commit applied at once; no rate limit; no lag of the list. Conclusion: late commits run on timers, so a stand-in that ends drops them.

--- a/standin/platform.go
+++ b/standin/platform.go
@@ -15,11 +15,16 @@
 
 // Faults are the failures that a platform can be told to show.
 type Faults struct {
-	Down     bool     `json:"down"`      // every call fails with 503 and has no effect
-	Lose     bool     `json:"lose"`      // commits take effect, but their answers are lost
-	DelayMS  int64    `json:"delay_ms"`  // added to every call
-	CutZones []string `json:"cut_zones"` // calls from these zones are dropped
-	FreezeMS int64    `json:"freeze_ms"` // the instance list lags by this much
+	Down       bool     `json:"down"`         // every call fails with 503 and has no effect
+	Lose       bool     `json:"lose"`         // commits take effect, but their answers are lost
+	LoseBefore bool     `json:"lose_before"`  // commits are lost before they take effect
+	LateMS     int64    `json:"late_ms"`      // commits take effect this much after their answers were lost
+	OneIn      int64    `json:"one_in"`       // the three above hit one commit in this many; 0 means each
+	WritesPerS int      `json:"writes_per_s"` // more commits a second get 429 and have no effect; 0 means no limit
+	ReadsPerS  int      `json:"reads_per_s"`  // the same for queries
+	DelayMS    int64    `json:"delay_ms"`     // added to every call
+	CutZones   []string `json:"cut_zones"`    // calls from these zones are dropped
+	FreezeMS   int64    `json:"freeze_ms"`    // the instance list lags by this much
 }
 
 // Platform is a stand-in for the platform. The zero value is ready to use.
@@ -29,7 +34,11 @@
 	last      uint64
 	objects   map[string][]byte
 	instances map[string]platform.WireInstance
+	changes   []change // of instances, not in the list yet
 	faults    Faults
+	commits   int64
+	writeRate rate
+	readRate  rate
 
 	// Reboot is called when an instance is to be rebooted; nil does nothing.
 	Reboot func(id string)
@@ -45,18 +54,73 @@
 	p.faults = f
 }
 
+// change is a change of an instance and when it happened.
+type change struct {
+	at time.Time
+	in platform.WireInstance
+}
+
 // SetInstance changes the state of an instance in the list; an empty state removes it.
 func (p *Platform) SetInstance(in platform.WireInstance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.changes = append(p.changes, change{time.Now(), in})
+}
+
+// publish takes the changes that are older than the lag into the list. p is locked.
+func (p *Platform) publish() {
 	if p.instances == nil {
 		p.instances = map[string]platform.WireInstance{}
 	}
-	if in.State == "" {
-		delete(p.instances, in.ID)
-		return
+	lag := time.Duration(p.faults.FreezeMS) * time.Millisecond
+	for len(p.changes) > 0 && time.Since(p.changes[0].at) >= lag {
+		in := p.changes[0].in
+		p.changes = p.changes[1:]
+		if in.State == "" {
+			delete(p.instances, in.ID)
+		} else {
+			p.instances[in.ID] = in
+		}
+	}
+}
+
+// rate counts the calls of one second.
+type rate struct {
+	second int64
+	calls  int
+}
+
+// take reports whether one more call fits under limit.
+func (r *rate) take(limit int) bool {
+	if now := time.Now().Unix(); now != r.second {
+		r.second, r.calls = now, 0
+	}
+	r.calls++
+	return limit == 0 || r.calls <= limit
+}
+
+// limited reports whether a call exceeds the rate limits.
+func (p *Platform) limited(path string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch path {
+	case "/v1/transactions":
+		return !p.writeRate.take(p.faults.WritesPerS)
+	case "/v1/reads":
+		return !p.readRate.take(p.faults.ReadsPerS)
+	}
+	return false
+}
+
+// losses returns the faults that hit the next commit.
+func (p *Platform) losses() Faults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.commits++
+	if p.faults.OneIn > 1 && p.commits%p.faults.OneIn != 0 {
+		return Faults{}
 	}
-	p.instances[in.ID] = in
+	return p.faults
 }
 
 // Commit applies t if its checks hold.
@@ -135,16 +199,19 @@
 		}
 		return
 	}
-	lose, ok := p.fail(r)
-	if !ok {
+	if !p.reachable(r) {
 		http.Error(w, "unavailable", http.StatusServiceUnavailable)
 		return
 	}
-	p.serve(w, r, lose)
+	if p.limited(r.URL.Path) {
+		http.Error(w, "too many calls", http.StatusTooManyRequests)
+		return
+	}
+	p.serve(w, r)
 }
 
-// fail waits and reports what the faults say of a call.
-func (p *Platform) fail(r *http.Request) (lose, ok bool) {
+// reachable waits and reports whether the platform answers a call.
+func (p *Platform) reachable(r *http.Request) bool {
 	p.mu.Lock()
 	f := p.faults
 	p.mu.Unlock()
@@ -160,18 +227,25 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
-	return f.Lose, !f.Down
+	return !f.Down
 }
 
-func (p *Platform) serve(w http.ResponseWriter, r *http.Request, lose bool) {
+func (p *Platform) serve(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.URL.Path == "/v1/transactions":
 		var t platform.WireTransaction
 		if !decode(w, r, &t) {
 			return
 		}
+		f := p.losses()
+		if f.LateMS > 0 {
+			time.AfterFunc(time.Duration(f.LateMS)*time.Millisecond, func() { p.Commit(t) })
+		}
+		if f.LoseBefore || f.LateMS > 0 {
+			panic(http.ErrAbortHandler)
+		}
 		out, status := p.Commit(t)
-		if lose {
+		if f.Lose {
 			panic(http.ErrAbortHandler)
 		}
 		answer(w, status, out)
@@ -198,6 +272,7 @@
 func (p *Platform) list() platform.WireInstances {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.publish()
 	out := platform.WireInstances{Instances: []platform.WireInstance{}}
 	for _, in := range p.instances {
 		out.Instances = append(out.Instances, in)
