--- a/peer/measure_test.go
+++ b/peer/measure_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"citronknot/clock"
 	"citronknot/fleet"
 	"citronknot/peer"
 	"citronknot/platform"
