Keep what the instance list shows in one place

Ruled out: keeping both, which could disagree on an instance that came back. Change: platform.Presence knows live, leaving and gone and counts changes; entry only reads the list. Conclusion: one holder, one rule for instances that were never listed.

--- a/entry/dump.go
+++ b/entry/dump.go
@@ -63,7 +63,7 @@
 		Portions: map[string]Portion{}, Pools: map[string]Pool{}, Peers: p.syncer.Dump(),
 	}
 	for _, m := range p.members.List() {
-		d.Members = append(d.Members, DumpMember{ID: string(m.ID), Zone: string(m.Zone), Gone: p.goneMember(m.ID)})
+		d.Members = append(d.Members, DumpMember{ID: string(m.ID), Zone: string(m.Zone), Gone: p.list.Gone(m.ID)})
 	}
 	for id, x := range p.escrow.Portions() {
 		d.Portions[string(id)] = Portion{Slots: int(x.Slots), Running: int(x.Running), Valid: x.Valid}
--- a/entry/members.go
+++ b/entry/members.go
@@ -40,7 +40,7 @@
 func (p *Process) updatePlace() {
 	rank, n := 0, 0
 	for _, m := range p.members.List() {
-		if p.list.gone(fleet.InstanceID(m.ID)) {
+		if p.list.Gone(m.ID) {
 			continue
 		}
 		if m.ID == p.members.Self.ID {
@@ -58,19 +58,17 @@
 	r := peer.Roster{Read: read, Known: known}
 	for _, m := range p.members.List() {
 		r.Members = append(r.Members, peer.Member{
-			ID: m.ID, Zone: m.Zone, Address: m.PeerAddr, Gone: p.goneMember(m.ID), GoneSince: p.goneSince(m.ID),
+			ID: m.ID, Zone: m.Zone, Address: m.PeerAddr, Gone: p.list.Gone(m.ID), GoneSince: p.goneSince(m.ID),
 		})
 	}
 	return r
 }
 
-func (p *Process) goneMember(id fleet.MemberID) bool { return p.list.gone(fleet.InstanceID(id)) }
-
 // goneSince returns when this process first saw that a member is gone.
 func (p *Process) goneSince(id fleet.MemberID) clock.Mark {
 	p.gone.mu.Lock()
 	defer p.gone.mu.Unlock()
-	if !p.goneMember(id) {
+	if !p.list.Gone(id) {
 		delete(p.gone.since, id)
 		return clock.Mark{}
 	}
--- a/entry/process.go
+++ b/entry/process.go
@@ -33,7 +33,7 @@
 	metrics    *caller.Metrics
 	current    fleet.Current
 	assigned   fleet.Assignments
-	list       instanceList
+	list       platform.Presence
 	place      place
 	gone       goneMembers
 	serving    snapshots
@@ -79,7 +79,7 @@
 func (p *Process) connectPlatform() {
 	s, table := p.settings, p.client.Table()
 	p.members = &platform.Members{
-		Table: table, Clock: p.clock, Gone: p.goneMember,
+		Table: table, Clock: p.clock, Gone: p.list.Gone,
 		Self: platform.Member{
 			ID: fleet.MemberID(s.Member), Zone: fleet.ZoneID(s.Zone),
 			CallerAddr: s.CallerAddr, OperatorAddr: s.OperatorAddr, PeerAddr: s.PeerAddress,
@@ -206,7 +206,7 @@
 		})
 	}
 	p.goRun(func() { p.follower.Run(ctx) })
-	p.goRun(func() { p.list.run(ctx, p.client, p.log) })
+	p.goRun(func() { p.followList(ctx) })
 	p.goRun(func() { p.members.Run(ctx) })
 	p.goRun(func() { p.rebalance(ctx) })
 	p.goRun(func() { p.claims.Run(ctx) })
--- a/entry/serving.go
+++ b/entry/serving.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"citronknot/fleet"
+	"citronknot/platform"
 	"citronknot/target"
 )
 
@@ -14,7 +15,7 @@
 type snapshots struct {
 	current     *fleet.Current
 	assignments *fleet.Assignments
-	list        *instanceList
+	list        *platform.Presence
 	place       *place
 	// stale reports whether a zone's assignment is too old to route by; see routeLapse.
 	stale func(fleet.ZoneID) bool
@@ -59,7 +60,7 @@
 func (s *snapshots) inputs() inputs {
 	return inputs{
 		config: s.current.Load(), assignments: s.assignments.Changes(),
-		list: s.list.version.Load(), place: s.place.version.Load(),
+		list: s.list.Changes(), place: s.place.version.Load(),
 	}
 }
 
@@ -80,7 +81,7 @@
 		p, ok := c.pools[at.Pool]
 		switch {
 		case !ok || s.stale(in.Zone):
-		case at.Phase != fleet.Serving || s.list.leaving(in.ID):
+		case at.Phase != fleet.Serving || s.list.Leaving(in.ID):
 			p.MaxEjected = max(0, p.MaxEjected-1)
 		default:
 			p.Targets = append(p.Targets, in)
--- a/entry/tend.go
+++ b/entry/tend.go
@@ -45,7 +45,7 @@
 // removeMembers takes members off the list that the platform's list shows as gone.
 func (p *Process) removeMembers(ctx context.Context, fence platform.Check) {
 	for _, m := range p.members.List() {
-		if !p.list.gone(fleet.InstanceID(m.ID)) {
+		if !p.list.Gone(m.ID) {
 			continue
 		}
 		removed, err := p.members.Remove(ctx, m.ID, fence)
