target: make the test of reads after the end of a body deterministic

Cause: in a full run of the mutations, the mutation (body read after its end) once went unnoticed, because the response could arrive before the transport's read. Change: the scripted target answers 1 ms of virtual time later.

--- a/target/forward_test.go
+++ b/target/forward_test.go
@@ -368,7 +368,12 @@
 // break the connection while the response arrives.
 func TestReadAfterEndOfBody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFixture(t, serve)
+		f := newFixture(t, func(_ int, c *peerConn) {
+			if id, _, ok := c.request(); ok {
+				time.Sleep(time.Millisecond) // the transport has finished with the body
+				c.answer(id)
+			}
+		})
 		o := f.forward(call{body: &endingBody{n: 100 << 10}, length: 100 << 10})
 		must.NoError(t, o.err)
 		test.Eq(t, "ok", o.Body.String())
