--- a/pool/estimate.go
+++ b/pool/estimate.go
@@ -108,7 +108,7 @@
 }
 
 // delayPart is the part of a request's deadline that it may wait; the rest is for its run.
-const delayPart = 0.4
+const delayPart = 0.7
 
 // Delay returns how long requests of a pool may wait: a part of the shortest default deadline
 // of its queues.
--- a/pool/maintenance.go
+++ b/pool/maintenance.go
@@ -209,7 +209,9 @@
 		if len(m.out[p.ID]) > 0 && !m.out[p.ID][rack] && !late {
 			continue
 		}
-		if t, known := m.need[p.ID]; known && float64(m.have[p.ID]-1) < t.low && !late {
+		// A pool that is short of demand waits, but one that has just enough does not: without
+		// a reserve it would otherwise wait for the end of its period.
+		if t, known := m.need[p.ID]; known && float64(m.have[p.ID]) < t.low && !late {
 			continue
 		}
 		m.room[p.ID]--
--- a/pool/objective.go
+++ b/pool/objective.go
@@ -46,12 +46,18 @@
 		if !ok || p.Spare {
 			continue
 		}
-		low := max(1, math.Ceil(float64(need)/unit))
-		out[id] = target{low: v.part(id, low), high: v.part(id, low+float64(p.MaxAbsent))}
+		exact := float64(need) / unit
+		low := max(1, math.Ceil(exact))
+		high := max(low, math.Ceil(exact+reservePart*float64(p.MaxAbsent)))
+		out[id] = target{low: v.part(id, low), high: v.part(id, high)}
 	}
 	return out
 }
 
+// reservePart is the part of a pool's availability budget that its reserve covers. Waves use
+// the budget for minutes in weeks, and work may wait, so the whole budget is not held.
+const reservePart = 0.5
+
 // unit is the mean number of slots of an instance.
 func (v *View) unit() float64 {
 	if len(v.Config.Instances) == 0 {
--- /dev/null
+++ b/pool/plan_test.go
@@ -0,0 +1,206 @@
+package pool_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"citronknot/clock"
+	"citronknot/fleet"
+	"citronknot/platform"
+	"citronknot/pool"
+)
+
+// oneZone is the view of a fleet in one zone in which every instance is serving.
+func oneZone(c *fleet.Config, need map[fleet.PoolID]fleet.Slots) pool.View {
+	v := pool.View{
+		Zone: "z0", Config: c, Need: need, Capacity: map[fleet.ZoneID]fleet.Slots{}, Down: map[fleet.InstanceID]bool{},
+		Rows: &platform.ZoneRows{Instances: map[fleet.InstanceID]platform.InstanceRow{}, Budgets: map[fleet.PoolID]platform.Budget{}},
+	}
+	for id, in := range c.Instances {
+		v.Capacity[in.Zone] += in.Slots
+		v.Rows.Instances[id] = platform.InstanceRow{ID: id, Pool: in.Pool, Home: in.Pool, Phase: fleet.Serving}
+	}
+	return v
+}
+
+// Guards against a move that crowds a rack although another instance of the same pool would
+// not, or although the pool that gets it is not short, and against more moves than allowed.
+func TestPlanKeepsSpread(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		c := testFleet(4, 6, 8, 1, 2)
+		need := map[fleet.PoolID]fleet.Slots{}
+		for _, id := range slices.Sorted(maps.Keys(c.Pools)) {
+			if !c.Pools[id].Spare {
+				need[id] = fleet.Slots(rapid.IntRange(1, 90).Draw(r, string(id)))
+			}
+		}
+		v := oneZone(c, need)
+		v.Policy.MaxMoves = 1
+		pools := []fleet.PoolID{"p00", "p01", "p02", "p03", "spare"}
+		load := map[fleet.InstanceID]int{}
+		for _, id := range slices.Sorted(maps.Keys(c.Instances)) {
+			row := v.Rows.Instances[id]
+			row.Pool = rapid.SampledFrom(pools).Draw(r, "pool")
+			v.Rows.Instances[id], load[id] = row, rapid.IntRange(0, 2).Draw(r, "in flight")
+		}
+		v.Members = []pool.Member{{ID: "m", InFlight: load}}
+		for range 30 {
+			moves := pool.Plan(40*day, v, pool.Association())
+			if len(moves) > 1 {
+				r.Fatalf("%d moves", len(moves))
+			}
+			for _, m := range moves {
+				row := v.Rows.Instances[m.Instance]
+				crowd, has := crowding(v, m.To, c.Instances[m.Instance].Rack)
+				if short := float64(has) < math.Ceil(float64(need[m.To])/8); crowd > 0 && m.To != "spare" {
+					for _, id := range slices.Sorted(maps.Keys(v.Rows.Instances)) {
+						other := v.Rows.Instances[id]
+						if k, _ := crowding(v, m.To, c.Instances[id].Rack); other.Pool == m.From && other.Moved == 0 && k < crowd || !short {
+							r.Fatalf("%s crowds a rack of %s by %d; %s would by %d; short %v", m.Instance, m.To, crowd, id, k, short)
+						}
+					}
+				}
+				row.Pool, row.Moved = m.To, 40*day
+				v.Rows.Instances[m.Instance] = row
+			}
+		}
+	})
+}
+
+// crowding returns by how many instances a rack would exceed an even spread of a pool if it
+// got one more, and the number of instances of the pool.
+func crowding(v pool.View, p fleet.PoolID, rack fleet.RackID) (crowd, has int) {
+	racks := map[fleet.RackID]bool{}
+	in := 0
+	for id, r := range v.Rows.Instances {
+		racks[v.Config.Instances[id].Rack] = true
+		if r.Pool == p {
+			has++
+			if v.Config.Instances[id].Rack == rack {
+				in++
+			}
+		}
+	}
+	return max(0, in+1-(has+len(racks))/len(racks)), has
+}
+
+// Guards against an estimate that follows bursts or declared sizes instead of the work: a
+// queue that asks five times its mean for 8 s in 40 s, reported late and in gaps, needs less
+// than half of its peak, and a steady one what it uses.
+func TestEstimatorRotatingDemand(t *testing.T) {
+	var rotating, steady pool.Estimator
+	waiting, since, run := 0.0, 0, 0.0
+	for s := range 600 {
+		arrived := 2.0
+		if s/8%5 == 0 {
+			arrived = 200 // slot-seconds; the mean is 41.6
+		}
+		served := min(waiting+arrived, 90)
+		waiting, run, since = waiting+arrived-served, run+served, since+1
+		if s%7 < 4 { // three of seven reports are lost
+			at := clock.Millis(s+1) * second
+			rotating.Observe(pool.Load{At: at, Running: run / float64(since), Finished: run / 2 / float64(since), Waiting: waiting / 2})
+			steady.Observe(pool.Load{At: at, Running: 40, Finished: 20})
+			run, since = 0, 0
+		}
+	}
+	got, ok := rotating.Need(20 * second)
+	must.True(t, ok)
+	must.Between(t, 50, int(got), 95)
+	got, _ = steady.Need(0)
+	must.Between(t, 40, int(got), 42)
+}
+
+// Guards against maintenance in two racks of a pool at once, and against new drains while
+// unplanned absences are above normal.
+func TestWavesStayInOneRackAndPause(t *testing.T) {
+	c := testFleet(1, 8, 0, 1, 3)
+	v := oneZone(c, nil)
+	now := 14*day - 20*hour // due, but not late
+	racks := map[fleet.RackID]bool{}
+	steps := pool.PlanMaintenance(now, v)
+	for _, s := range steps {
+		must.Eq(t, fleet.Draining, s.To)
+		racks[c.Instances[s.Instance].Rack] = true
+	}
+	must.Eq(t, 3, len(steps))
+	must.Eq(t, 1, len(racks))
+	must.Eq(t, 0, len(pool.PlanMaintenance(now-2*day, v)))
+
+	v.Rows.Budgets["other"] = platform.Budget{Absent: map[fleet.InstanceID]platform.Absence{
+		"x": {Reason: platform.Unplanned}, "y": {Reason: platform.Unplanned},
+	}}
+	must.Eq(t, 0, len(pool.PlanMaintenance(now, v)))
+}
+
+// Guards against an operator's drain or return that the lease holder does not carry out.
+func TestOperatorDrain(t *testing.T) {
+	w := newWorld(testFleet(1, 4, 0, 1, 1), 1, 1, pool.Policy{}, t.Fatalf)
+	w.round(1)
+	for _, want := range []struct {
+		drain bool
+		phase string
+	}{{true, "absent"}, {false, "serving"}} {
+		must.NoError(t, w.holders[1].SetDrain(t.Context(), "i0000", want.drain))
+		for range 5 {
+			w.now += second
+			w.round(1)
+		}
+		must.Eq(t, want.phase, w.rows["i0000"].Phase)
+	}
+	must.Eq(t, 0, len(w.booting))
+	must.True(t, w.holders[0].Dump().Holder)
+	must.Error(t, w.holders[1].SetDrain(t.Context(), "nobody", true))
+}
+
+func benchmark(b *testing.B, f func(pool.View)) {
+	for _, size := range []struct{ pools, perPool, spares int }{{5, 9, 5}, {18, 10, 20}, {81, 11, 19}} {
+		c := testFleet(size.pools, size.perPool, size.spares, 1, 1)
+		need := map[fleet.PoolID]fleet.Slots{}
+		for id := range c.Pools {
+			need[id] = fleet.Slots(8 * (size.perPool - 2 + len(need)%4))
+		}
+		v := oneZone(c, need)
+		b.Run(fmt.Sprint(len(c.Instances)), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				f(v)
+			}
+		})
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	benchmark(b, func(v pool.View) { pool.Plan(40*day, v, pool.Agency()) })
+}
+
+func BenchmarkPlanMaintenance(b *testing.B) {
+	benchmark(b, func(v pool.View) { pool.PlanMaintenance(40*day, v) })
+}
+
+// Guards against a controller that outlives its context, or acts without the lease.
+func TestRunStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		asked := 0
+		c := &pool.Controller{Log: quiet, Lease: func() (platform.Check, clock.Millis, bool) {
+			asked++
+			return platform.Check{}, 0, false
+		}}
+		go c.Run(ctx)
+		time.Sleep(3500 * time.Millisecond)
+		cancel()
+		synctest.Wait()
+		must.Eq(t, 4, asked)
+		must.False(t, c.Dump().Holder)
+	})
+}
