pool: let requests wait for what their run time leaves of the deadline

Ruled out: a fixed part of 0.8, which is unsafe where the run takes most of the deadline. Mutations, seen to fail and restored: delay ignored (out of range), run time not subtracted (unequal).

--- a/pool/estimate.go
+++ b/pool/estimate.go
@@ -86,8 +86,8 @@
 const minHistory = 60
 
 // Need returns the fewest slots that would have served all work of the last 15 minutes with
-// at most delay of waiting: the largest work of a window divided by the window's length plus
-// delay. A burst that fits into the delay therefore needs no slots of its own, however far it
+// at most delay from arrival to end: the largest work of a window divided by the window's
+// length plus the delay that the observed run time leaves for waiting. A burst that fits into the delay therefore needs no slots of its own, however far it
 // is above the mean. ok is false while there is too little history.
 func (e *Estimator) Need(delay clock.Millis) (slots fleet.Slots, ok bool) {
 	n := int(e.last - e.first)
@@ -98,7 +98,7 @@
 	for i := range n {
 		sums[i+1] = sums[i] + e.work[(e.first+1+int64(i))%historyLength]
 	}
-	most, d := 0.0, float64(delay)/float64(second)
+	most, d := 0.0, max(0, float64(delay)/float64(second)-e.runTime())
 	for length := 1; length <= n; length += 1 + length/4 {
 		for end := length; end <= n; end++ {
 			most = max(most, (sums[end]-sums[end-length])/(float64(length)+d))
@@ -107,11 +107,12 @@
 	return fleet.Slots(math.Ceil(most)), true
 }
 
-// delayPart is the part of a request's deadline that it may wait; the rest is for its run.
-const delayPart = 0.7
+// delayPart is the part of a request's deadline that its wait and its run may take. The rest
+// covers reports that lag and run times that vary.
+const delayPart = 0.85
 
-// Delay returns how long requests of a pool may wait: a part of the shortest default deadline
-// of its queues.
+// Delay returns how long requests of a pool may take from arrival to their end: a part of the
+// shortest default deadline of its queues.
 func Delay(c *fleet.Config, pool fleet.PoolID) clock.Millis {
 	shortest := clock.Millis(math.MaxInt64)
 	for _, q := range c.Queues {
--- a/pool/plan_test.go
+++ b/pool/plan_test.go
@@ -116,6 +116,9 @@
 	got, ok := rotating.Need(20 * second)
 	must.True(t, ok)
 	must.Between(t, 50, int(got), 95)
+	all, _ := rotating.Need(0)
+	none, _ := rotating.Need(2 * second) // the run time leaves nothing for waiting
+	must.Eq(t, all, none)
 	got, _ = steady.Need(0)
 	must.Between(t, 40, int(got), 42)
 }
