Wire assignments, drains, moves and maintenance into the process

Cause: drain and return answered 501, and an instance's pool followed the configuration at once at each member. Ruled out: releasing members of other zones by their reports only, since a member that is cut off from the controller may still route; they stop by their own clock 10 s after their last read of the zone's assignment. Change: each member reads its zone's assignment each second and the others' every third second; the zone's lease holder runs the controller; load summaries carry the requests in flight on each target, counted after the version that the member routed by.

--- a/entry/dump.go
+++ b/entry/dump.go
@@ -2,6 +2,7 @@
 
 import (
 	"citronknot/peer"
+	"citronknot/pool"
 	"citronknot/target"
 )
 
@@ -19,6 +20,7 @@
 	Pools     map[string]Pool    `json:"pools"`
 	Targets   []Target           `json:"targets"`
 	Peers     peer.Dump          `json:"peers"`
+	Control   pool.State         `json:"zone_controller"`
 }
 
 // DumpMember is a registered member.
@@ -60,7 +62,7 @@
 	d := Dump{
 		Member: p.settings.Member, Zone: p.settings.Zone, Ready: p.ready(),
 		Version: uint64(c.Version), Note: string(c.Note), Confirmed: known, AgeMS: int64(age),
-		Portions: map[string]Portion{}, Pools: map[string]Pool{}, Peers: p.syncer.Dump(),
+		Portions: map[string]Portion{}, Pools: map[string]Pool{}, Peers: p.syncer.Dump(), Control: p.controller.Dump(),
 	}
 	for _, m := range p.members.List() {
 		d.Members = append(d.Members, DumpMember{ID: string(m.ID), Zone: string(m.Zone), Gone: p.list.Gone(m.ID)})
--- a/entry/members.go
+++ b/entry/members.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -35,6 +36,9 @@
 	}
 }
 
+// bump makes what is computed from the place be computed again.
+func (p *place) bump() { p.version.Add(1) }
+
 // updatePlace computes the rank from the members that the platform's list does not show as
 // gone. All members order them by id.
 func (p *Process) updatePlace() {
@@ -102,6 +106,13 @@
 	return out
 }
 
+// inFlight returns the targets on which this process has requests in flight.
+func (p *Process) inFlight() map[fleet.InstanceID]int {
+	out := p.dispatcher.InFlight()
+	maps.DeleteFunc(out, func(_ fleet.InstanceID, n int) bool { return n == 0 })
+	return out
+}
+
 // view returns what is known of the use of a pool by all members.
 func (p *Process) view(pool fleet.PoolID) caller.View {
 	_, members := p.place.load()
--- a/entry/process.go
+++ b/entry/process.go
@@ -22,6 +22,7 @@
 	"citronknot/operator"
 	"citronknot/peer"
 	"citronknot/platform"
+	"citronknot/pool"
 	"citronknot/target"
 )
 
@@ -45,6 +46,13 @@
 	lending    chan struct{} // idle slots are wanted elsewhere
 	claims     *platform.Claims
 	fleetLease *platform.Lease
+
+	assignments *platform.Assignments
+	zones       zones
+	zoneLease   *platform.Lease
+	controller  *pool.Controller
+	heard       heardMembers
+
 	follower   *peer.Follower
 	syncer     *peer.Syncer
 	admission  *caller.Admission
@@ -74,6 +82,7 @@
 	p.connectPlatform()
 	p.connectPeers()
 	p.connectTargets()
+	p.connectController()
 	p.callers, p.operators, p.peers = p.callerServer(), p.operatorServer(), p.peerServer()
 	return p, nil
 }
@@ -112,13 +121,14 @@
 		// A restarted member has to be newer than before. It has no disk, so the wall clock says so.
 		Epoch:    uint64(p.clock.Wall()),
 		Follower: p.follower, Assignments: &p.assigned, Members: p.roster, Load: p.ownLoad, Call: client.Call,
+		Targets: p.inFlight,
 	}
 }
 
 func (p *Process) connectTargets() {
 	p.serving = snapshots{
 		current: &p.current, assignments: &p.assigned, list: &p.list, place: &p.place,
-		stale: func(fleet.ZoneID) bool { return false },
+		stale: p.zones.stale,
 	}
 	p.dispatcher = &target.Dispatcher{Clock: p.clock, Zone: p.members.Self.Zone, Serving: p.serving.of}
 	p.admission = &caller.Admission{
@@ -152,6 +162,8 @@
 		Accept:     p.accept,
 		Refresh:    p.follower.Refresh,
 		Notes:      p.follower.Log.Notes,
+		Placement:  p.placement,
+		SetDrain:   p.controller.SetDrain,
 		Dump:       func() any { return p.Dump() },
 		Ready:      p.ready,
 		Metrics:    promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
@@ -172,16 +184,24 @@
 
 // accept appends a release note to the log, unless some member may not know of this one yet.
 func (p *Process) accept(ctx context.Context, n fleet.ReleaseNote) (fleet.Version, error) {
+	if !p.members.MayAccept() {
+		// The others' acknowledgments may be newer than the last read of the list.
+		if err := p.members.Refresh(ctx); err != nil {
+			return 0, err
+		}
+	}
 	if !p.members.MayAccept() {
 		return 0, &platform.UnavailableError{Op: "accept", Err: eris.New("this member is not known to all members yet; try another one")}
 	}
 	return p.follower.Accept(ctx, n)
 }
 
-// ready reports whether the balancer should send requests here.
+// ready reports whether the balancer should send requests here. A member that starts reads its
+// zone's assignment before it routes, because hand-overs do not wait for it.
 func (p *Process) ready() bool {
 	_, known := p.follower.Age()
-	return p.accepting.Load() && known
+	_, read := p.zones.read(p.members.Self.Zone)
+	return p.accepting.Load() && known && read
 }
 
 // Start opens the listeners and starts the background work.
@@ -215,6 +235,9 @@
 	p.goRun(func() { p.claims.Run(ctx) })
 	p.goRun(func() { p.fleetLease.Run(ctx) })
 	p.goRun(func() { p.tend(ctx) })
+	p.goRun(func() { p.followZones(ctx) })
+	p.goRun(func() { p.zoneLease.Run(ctx) })
+	p.goRun(func() { p.controller.Run(ctx) })
 	expiry := &platform.ClaimExpiry{Table: p.client.Table(), Clock: p.clock, Lease: p.fleetLease, Teams: p.claimTeams}
 	p.goRun(func() { expiry.Run(ctx) })
 	p.goRun(func() { p.syncer.Run(ctx) })
--- a/peer/decode.go
+++ b/peer/decode.go
@@ -193,6 +193,17 @@
 		}
 		s.Pools[fleet.PoolID(c.name(l[0], names))] = p
 	}
+	if len(w.Targets)%2 != 0 {
+		c.fail("items.loads.t", fmt.Sprint(len(w.Targets)), "an even number of numbers")
+		return s
+	}
+	for i := 0; i < len(w.Targets); i += 2 {
+		if s.Targets == nil {
+			s.Targets = make(map[fleet.InstanceID]int, len(w.Targets)/2)
+		}
+		c.count("items.loads.t", int64(w.Targets[i+1]))
+		s.Targets[fleet.InstanceID(c.name(w.Targets[i], names))] = w.Targets[i+1]
+	}
 	return s
 }
 
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -124,5 +124,8 @@
 		}
 		w.Pools = append(w.Pools, l)
 	}
+	for id, inFlight := range s.Targets {
+		w.Targets = append(w.Targets, n.of(string(id)), inFlight)
+	}
 	return w
 }
--- a/peer/load.go
+++ b/peer/load.go
@@ -23,12 +23,15 @@
 
 // Summary is the load of one member. It lists only pools with load.
 type Summary struct {
-	Member     fleet.MemberID
-	Zone       fleet.ZoneID
-	Stamp      Stamp
-	Assignment fleet.Version // held by the member of its own zone
-	Age        clock.Millis  // since the member made it, without the time in transit
+	Member fleet.MemberID
+	Zone   fleet.ZoneID
+	Stamp  Stamp
+	// Assignment is the version that the member routes by in its own zone. It held it before it
+	// counted Targets, so that a request that was routed by an older version is counted.
+	Assignment fleet.Version
+	Age        clock.Millis // since the member made it, without the time in transit
 	Pools      map[fleet.PoolID]PoolLoad
+	Targets    map[fleet.InstanceID]int // requests in flight on each target that has any
 }
 
 const (
--- a/peer/syncer.go
+++ b/peer/syncer.go
@@ -46,6 +46,8 @@
 	Members func() Roster
 	// Load returns the load of this member on the pools with load. Nil means none.
 	Load func() map[fleet.PoolID]PoolLoad
+	// Targets returns the requests of this member in flight on each target. Nil means none.
+	Targets func() map[fleet.InstanceID]int
 	// Call sends a message to a member and returns the answer, as [Client.Call].
 	Call func(context.Context, Member, Message) (Message, error)
 
@@ -61,6 +63,7 @@
 	loads     Loads
 	history   assignmentHistory
 	confirms  map[fleet.ZoneID]map[fleet.MemberID]fleet.Version
+	routed    fleet.Version // of the own zone, held at the last summary
 	epochs    map[fleet.MemberID]uint64
 	seq       uint64
 	published clock.Millis
@@ -173,16 +176,21 @@
 // publishLoad makes the next load summary of this member.
 func (s *Syncer) publishLoad(now clock.Millis) {
 	var pools map[fleet.PoolID]PoolLoad
+	var targets map[fleet.InstanceID]int
 	if s.Load != nil {
 		pools = s.Load()
 	}
+	if s.Targets != nil {
+		targets = s.Targets()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seq++
 	s.published = now
-	sum := Summary{Member: s.Self, Zone: s.Zone, Stamp: Stamp{Epoch: s.Epoch, Seq: s.seq}, Pools: pools}
+	sum := Summary{Member: s.Self, Zone: s.Zone, Stamp: Stamp{Epoch: s.Epoch, Seq: s.seq}, Pools: pools, Targets: targets, Assignment: s.routed}
+	// A request that was routed by the version before may be counted only from the next summary.
 	if a := s.Assignments.Load(s.Zone); a != nil {
-		sum.Assignment = a.Version
+		s.routed = a.Version
 	}
 	s.loads.Put(sum, now)
 }
--- a/peer/syncer_query.go
+++ b/peer/syncer_query.go
@@ -38,12 +38,17 @@
 	return sum.Pools[pool]
 }
 
-// WaitingElsewhere returns the teams that have requests waiting at other members, in any pool.
-func (s *Syncer) WaitingElsewhere() map[fleet.TeamID]int {
+// Summaries returns the newest load summary of each member with news, with this one.
+func (s *Syncer) Summaries() []Summary {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.loads.Live(s.Clock.Now())
+}
+
+// WaitingElsewhere returns the teams that have requests waiting at other members, in any pool.
+func (s *Syncer) WaitingElsewhere() map[fleet.TeamID]int {
 	out := map[fleet.TeamID]int{}
-	for _, sum := range s.loads.Live(s.Clock.Now()) {
+	for _, sum := range s.Summaries() {
 		if sum.Member == s.Self {
 			continue
 		}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -54,6 +54,8 @@
 	// Pools holds for each pool its index in names, in-flight, slots and the longest wait in
 	// milliseconds, then for each team its index in names, running and waiting requests.
 	Pools [][]int `json:"p,omitempty"`
+	// Targets holds for each target its index in names and its requests in flight.
+	Targets []int `json:"t,omitempty"`
 }
 
 type wireStatement struct {
