--- a/cmd/citronknot/export_test.go
+++ /dev/null
@@ -1,4 +0,0 @@
-package main
-
-// Run gives tests the whole command line.
-var Run = run
--- a/cmd/citronknot/main.go
+++ b/cmd/citronknot/main.go
@@ -1,8 +1,12 @@
 // Command citronknot is the operators' command line.
 package main
 
-import "os"
+import (
+	"os"
+
+	"citronknot/terminal"
+)
 
 func main() {
-	os.Exit(run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+	os.Exit(terminal.Run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
 }
--- a/entry/members.go
+++ b/entry/members.go
@@ -113,6 +113,21 @@
 	return out
 }
 
+// peersInFlight returns the requests that the other members have in flight on each target, by
+// their last summaries.
+func (p *Process) peersInFlight() map[fleet.InstanceID]int {
+	out := map[fleet.InstanceID]int{}
+	for _, s := range p.syncer.Summaries() {
+		if s.Member == p.members.Self.ID {
+			continue
+		}
+		for id, n := range s.Targets {
+			out[id] += n
+		}
+	}
+	return out
+}
+
 // view returns what is known of the use of a pool by all members.
 func (p *Process) view(pool fleet.PoolID) caller.View {
 	_, members := p.place.load()
--- a/entry/process.go
+++ b/entry/process.go
@@ -257,6 +257,7 @@
 	for {
 		p.updatePlace()
 		p.lend()
+		p.dispatcher.SetPeers(p.peersInFlight())
 		p.admission.Wake()
 		select {
 		case <-ctx.Done():
--- a/cmd/citronknot/app.go
+++ b/terminal/app.go
@@ -1,4 +1,4 @@
-package main
+package terminal
 
 import (
 	"context"
@@ -32,8 +32,8 @@
 	file   string // the release note that faults are reported for
 }
 
-// run executes one command and returns its exit code.
-func run(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+// Run executes one command and returns its exit code.
+func Run(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
 	a := &app{stdin: stdin, stdout: stdout, stderr: stderr}
 	err := a.execute(args)
 	a.report(err)
--- a/cmd/citronknot/main_test.go
+++ b/terminal/app_test.go
@@ -1,4 +1,4 @@
-package main_test
+package terminal_test
 
 import (
 	"bytes"
@@ -15,12 +15,12 @@
 
 	"github.com/shoenig/test/must"
 
-	main "citronknot/cmd/citronknot"
 	"citronknot/fleet"
 	"citronknot/operator"
 	"citronknot/peer"
 	"citronknot/platform"
 	"citronknot/standin"
+	"citronknot/terminal"
 )
 
 const credential = "test-credential"
@@ -79,7 +79,7 @@
 
 func (c *cli) run(stdin string, args ...string) result {
 	var out, errs bytes.Buffer
-	code := main.Run(append([]string{"--url", c.url, "--credential", credential}, args...), strings.NewReader(stdin), &out, &errs)
+	code := terminal.Run(append([]string{"--url", c.url, "--credential", credential}, args...), strings.NewReader(stdin), &out, &errs)
 	return result{code, out.String(), errs.String()}
 }
 
--- a/cmd/citronknot/diff.go
+++ b/terminal/diff.go
@@ -1,4 +1,4 @@
-package main
+package terminal
 
 import (
 	"encoding/json"
--- a/cmd/citronknot/docs_test.go
+++ b/terminal/docs_test.go
@@ -1,4 +1,4 @@
-package main_test
+package terminal_test
 
 import (
 	"os"
@@ -15,7 +15,7 @@
 func TestDocumentedCommands(t *testing.T) {
 	for _, page := range []string{"README.md", "docs/OPERATING.md"} {
 		t.Run(page, func(t *testing.T) {
-			t.Chdir("../..")
+			t.Chdir("..")
 			text, err := os.ReadFile(page)
 			must.NoError(t, err)
 			c := newCLI(t)
