--- a/pool/experiment_test.go
+++ b/pool/experiment_test.go
@@ -231,7 +231,7 @@
 				exact, sum := make([]*line, s.pools), 0
 				for p := range exact {
 					k := 1
-					for exact[p] = static(in[p], k, 0); k < 4*n/s.pools && exact[p].met < lines[p].met-tolerance*lines[p].offered; k++ {
+					for exact[p] = static(in[p], k, 0); k < 4*n/s.pools && exact[p].met < min(lines[p].met, lines[p].offered)*(1-tolerance); k++ {
 						exact[p] = static(in[p], k+1, 0)
 					}
 					sum += k
--- a/pool/plan_test.go
+++ b/pool/plan_test.go
@@ -207,3 +207,32 @@
 		must.False(t, c.Dump().Holder)
 	})
 }
+
+// Guards against a configured pool that is ignored, a second move within the minimum stay, and
+// a withdrawn instance that keeps its place in a budget.
+func TestConfigIsFollowed(t *testing.T) {
+	c := testFleet(2, 4, 0, 1, 1)
+	w := newWorld(c, 1, 1, pool.Policy{}, t.Fatalf)
+	w.round(1)
+	move := func(to fleet.PoolID, wait clock.Millis) string {
+		in := c.Instances["i0000"]
+		in.Pool = to
+		c.Instances["i0000"] = in
+		for range 5 {
+			w.now += wait
+			w.round(1)
+		}
+		return w.rows["i0000"].Pool
+	}
+	must.Eq(t, "p01", move("p01", second))
+	must.Eq(t, "p01", move("p00", second))
+	must.Eq(t, "p00", move("p00", hour))
+
+	w.down["i0001"] = true
+	w.round(1)
+	must.MapContainsKey(t, w.budgets["p00"].Absent, "i0001")
+	delete(c.Instances, "i0001")
+	w.round(1)
+	must.MapEmpty(t, w.budgets["p00"].Absent)
+	must.Eq(t, 7, w.holders[0].Dump().Pools["p00"].Phases["serving"]+w.holders[0].Dump().Pools["p01"].Phases["serving"])
+}
