Plan moves by demand, and stop routing when the own term ends

Cause: the plan had no demand to work with on real processes, and a member that was cut off for longer than its term went on routing by an assignment that a hand-over no longer waits for. Ruled out: rates computed by each member, which add up wrongly when summaries are lost; counters are passed on instead. The own zone's assignment lapses with the member's term. Moves by demand on real processes: not run. Conclusion: the wiring is complete; its effect on real processes is still to be measured.

--- a/caller/load.go
+++ b/caller/load.go
@@ -22,6 +22,8 @@
 	InFlight fleet.Slots // of all teams
 	Teams    map[fleet.TeamID]TeamLoad
 	Oldest   clock.Millis // longest wait among the requests that are next in their team
+	Finished uint64       // requests that ended after they ran, since the member started
+	Refused  uint64       // requests refused for lack of room or time, since the member started
 }
 
 // PeerLoad is the newest load summary of another member.
--- a/caller/scheduler.go
+++ b/caller/scheduler.go
@@ -54,6 +54,8 @@
 	accrued  clock.Millis
 	sequence uint64
 	refused  []*Request
+	finished uint64 // see Load
+	refusals uint64 // see Load
 }
 
 // flow is the state of one team in one pool.
@@ -162,9 +164,11 @@
 		f.lines[r.Queue.ID] = l
 	}
 	if l.waiting >= r.Queue.MaxWaiting {
+		s.refusals++
 		return queueFull(r.Queue)
 	}
 	if s.tooLate(now, f, l, r) {
+		s.refusals++
 		return deadlineMissed(r.Deadline - now)
 	}
 	s.sequence++
@@ -265,6 +269,9 @@
 	if r.ticket.ahead {
 		s.ahead--
 	}
+	if o != NotRun {
+		s.finished++
+	}
 	if o == Ran {
 		run := now - r.ticket.started
 		f.run.add(now, run)
@@ -320,6 +327,7 @@
 	s.leave(r)
 	r.ticket.phase = phaseRefused
 	r.ticket.refusal = deadlineMissed(r.Deadline - now)
+	s.refusals++
 	s.refused = append(s.refused, r)
 }
 
--- a/caller/scheduler_query.go
+++ b/caller/scheduler_query.go
@@ -18,7 +18,7 @@
 
 // Load returns this member's load summary. It lists only teams with load.
 func (s *Scheduler) Load(now clock.Millis) Load {
-	out := Load{InFlight: s.running, Teams: map[fleet.TeamID]TeamLoad{}}
+	out := Load{InFlight: s.running, Teams: map[fleet.TeamID]TeamLoad{}, Finished: s.finished, Refused: s.refusals}
 	for f := range maps.Values(s.teams) {
 		if f.running == 0 && f.waiting == 0 {
 			continue
--- a/entry/check.go
+++ b/entry/check.go
@@ -174,6 +174,9 @@
 			return &SettingError{Setting: d.name, Value: d.value.String(), Accepted: "0s to " + d.max.String()}
 		}
 	}
+	if _, ok := weights[s.Weights]; !ok {
+		return &SettingError{Setting: "weights", Value: s.Weights, Accepted: "none, association or agency"}
+	}
 	return nil
 }
 
--- a/entry/members.go
+++ b/entry/members.go
@@ -97,7 +97,10 @@
 func (p *Process) ownLoad() map[fleet.PoolID]peer.PoolLoad {
 	out := map[fleet.PoolID]peer.PoolLoad{}
 	for id, l := range p.admission.Summary() {
-		pl := peer.PoolLoad{InFlight: int(l.InFlight), Slots: p.serving.slots(id), Oldest: l.Oldest, Teams: map[fleet.TeamID]peer.TeamLoad{}}
+		pl := peer.PoolLoad{
+			InFlight: int(l.InFlight), Slots: p.serving.slots(id), Oldest: l.Oldest,
+			Finished: l.Finished, Refused: l.Refused, Teams: map[fleet.TeamID]peer.TeamLoad{},
+		}
 		for t, n := range l.Teams {
 			pl.Teams[t] = peer.TeamLoad{Running: int(n.Running), Waiting: n.Waiting}
 		}
--- a/entry/process.go
+++ b/entry/process.go
@@ -52,6 +52,7 @@
 	zoneLease   *platform.Lease
 	controller  *pool.Controller
 	heard       heardMembers
+	demand      demand
 
 	follower   *peer.Follower
 	syncer     *peer.Syncer
@@ -201,7 +202,7 @@
 func (p *Process) ready() bool {
 	_, known := p.follower.Age()
 	_, read := p.zones.read(p.members.Self.Zone)
-	return p.accepting.Load() && known && read
+	return p.accepting.Load() && known && read && p.members.Live()
 }
 
 // Start opens the listeners and starts the background work.
@@ -256,6 +257,9 @@
 	defer ticker.Stop()
 	for {
 		p.updatePlace()
+		if p.zones.update(p.allZones(), p.members.Live()) {
+			p.place.bump()
+		}
 		p.lend()
 		p.dispatcher.SetPeers(p.peersInFlight())
 		p.admission.Wake()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -34,6 +34,8 @@
 	ShutdownDelay time.Duration `long:"shutdown-delay" env:"CITRONKNOT_SHUTDOWN_DELAY" default:"1s" description:"time between failing readiness and closing the listener"`
 	ShutdownBound time.Duration `long:"shutdown-bound" env:"CITRONKNOT_SHUTDOWN_BOUND" default:"5m" description:"longest wait for running requests on a planned stop"`
 
+	Weights string `long:"weights" env:"CITRONKNOT_WEIGHTS" default:"none" description:"objective of moves by demand: none, association or agency"`
+
 	LogFormat string `long:"log-format" env:"CITRONKNOT_LOG_FORMAT" default:"text" description:"format of the log: text or json"`
 	LogLevel  string `long:"log-level" env:"CITRONKNOT_LOG_LEVEL" default:"info" description:"least level of the log: debug, info, warn or error"`
 }
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -55,6 +55,7 @@
 		{"max-staleness", "-1s", "0s to 1h", ""},
 		{"shutdown-delay", "2m", "0s to 1m", ""},
 		{"shutdown-bound", "2h", "0s to 1h", ""},
+		{"weights", "both", "none, association or agency", ""},
 		{"log-format", "xml", "text or json", ""},
 		{"log-level", "all", "debug, info, warn or error", ""},
 	}
--- a/entry/zone.go
+++ b/entry/zone.go
@@ -47,16 +47,20 @@
 func (z *zones) stale(zone fleet.ZoneID) bool {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	return zone != z.own && z.lapsed[zone]
+	return z.lapsed[zone]
 }
 
-// update computes which zones have lapsed and reports whether that changed.
-func (z *zones) update(all []fleet.ZoneID) (changed bool) {
+// update computes which zones have lapsed and reports whether that changed. The own zone's
+// assignment lapses with the member's term, after which hand-overs do not wait for it.
+func (z *zones) update(all []fleet.ZoneID, live bool) (changed bool) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	for _, id := range all {
 		at, known := z.confirmed[id]
 		lapsed := !known || z.clock.AtLeast(at) > routeLapse
+		if id == z.own {
+			lapsed = !live
+		}
 		if z.lapsed[id] != lapsed {
 			if z.lapsed == nil {
 				z.lapsed = map[fleet.ZoneID]bool{}
@@ -115,15 +119,11 @@
 	ticker := time.NewTicker(assignmentsEvery)
 	defer ticker.Stop()
 	for n := 0; ; n++ {
-		all := p.allZones()
-		for _, zone := range all {
+		for _, zone := range p.allZones() {
 			if zone == p.members.Self.Zone || n%othersEvery == 0 {
 				p.readZone(ctx, zone)
 			}
 		}
-		if p.zones.update(all) {
-			p.place.bump()
-		}
 		select {
 		case <-ctx.Done():
 			return
@@ -182,6 +182,7 @@
 			return fence, p.zoneLease.Left(), ok
 		},
 		Instances: p.client.Instances, Members: p.routers, Reboot: p.client.Reboot, Publish: p.publish, Log: p.log,
+		Load: p.poolLoads, Weights: weights[p.settings.Weights],
 	}
 }
 
--- a/peer/encode.go
+++ b/peer/encode.go
@@ -118,7 +118,7 @@
 		Assignment: uint64(s.Assignment), AgeMS: int64(s.Age), Pools: make([][]int, 0, len(s.Pools)),
 	}
 	for id, p := range s.Pools {
-		l := []int{n.of(string(id)), p.InFlight, int(p.Slots), int(p.Oldest)}
+		l := []int{n.of(string(id)), p.InFlight, int(p.Slots), int(p.Oldest), int(p.Finished), int(p.Refused)}
 		for t, x := range p.Teams {
 			l = append(l, n.of(string(t)), x.Running, x.Waiting)
 		}
--- a/peer/load.go
+++ b/peer/load.go
@@ -18,6 +18,8 @@
 	InFlight int
 	Slots    fleet.Slots
 	Oldest   clock.Millis // longest wait among the requests that are next in their team
+	Finished uint64       // requests that ended after they ran, since the member started
+	Refused  uint64       // requests refused for lack of room or time, since the member started
 	Teams    map[fleet.TeamID]TeamLoad
 }
 
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -51,8 +51,8 @@
 	Seq        uint64 `json:"n"`
 	Assignment uint64 `json:"a,omitempty"`
 	AgeMS      int64  `json:"age,omitempty"`
-	// Pools holds for each pool its index in names, in-flight, slots and the longest wait in
-	// milliseconds, then for each team its index in names, running and waiting requests.
+	// Pools holds for each pool its index in names, in-flight, slots, the longest wait in
+	// milliseconds, finished and refused requests, then for each team its index in names, running and waiting requests.
 	Pools [][]int `json:"p,omitempty"`
 	// Targets holds for each target its index in names and its requests in flight.
 	Targets []int `json:"t,omitempty"`
