Measure the loopback path and the cost of a decision

Cause: the goals for latency, processor time and decision time had no repeatable measurement. Ruled out: separate processes (a program starts none); a forwarder that streams small bodies or uses io.Copy.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint fmt model chaos
+.PHONY: build demo test lint fmt model chaos measure
 
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
@@ -28,3 +28,7 @@
 SEED ?= 1
 chaos: build
 	$(GO) test -tags chaos -count 1 -timeout 10m -v ./chaos -args -seed $(SEED)
+
+# measure prints the tables of docs/MEASUREMENTS.md; ARGS takes flags of cmd/measure.
+measure: build
+	bin/measure --seed $(SEED) $(ARGS)
--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,87 @@
+// Command measure runs the measurements of package experiment and prints their tables.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime/pprof"
+	"slices"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+
+	"citronknot/experiment"
+)
+
+type options struct {
+	Seed        uint64         `long:"seed" default:"1" description:"seed of the generated load"`
+	Only        []string       `long:"only" choice:"loopback" choice:"decision" choice:"policy" description:"measurement to run; default: all"`
+	Repetitions int            `long:"repetitions" default:"15" description:"repetitions of the loopback and decision measurements"`
+	Profile     flags.Filename `long:"cpu-profile" description:"file for a processor profile of the whole run"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	if o.Profile != "" {
+		f, err := os.Create(string(o.Profile))
+		if err != nil {
+			return eris.Wrap(err, "measure: profile")
+		}
+		defer func() { _ = f.Close() }()
+		if err := pprof.StartCPUProfile(f); err != nil {
+			return eris.Wrap(err, "measure: profile")
+		}
+		defer pprof.StopCPUProfile()
+	}
+	for _, m := range []struct {
+		name string
+		run  func(options) error
+	}{{"loopback", loopback}, {"decision", decision}} {
+		if len(o.Only) > 0 && !slices.Contains(o.Only, m.name) {
+			continue
+		}
+		if err := m.run(o); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func loopback(o options) error {
+	l := experiment.Loopback{Repetitions: o.Repetitions, Requests: 4000, Callers: 8, Body: 100}
+	r, err := l.Run(context.Background())
+	if err != nil {
+		return err
+	}
+	fmt.Printf("Loopback: entry process over minimal forwarder, %d repetitions of %d requests, %d callers, %d bytes.\n\n",
+		l.Repetitions, l.Requests, l.Callers, l.Body)
+	fmt.Printf("| ratio | median (least to most) | goal |\n|---|---|---|\n")
+	fmt.Printf("| latency p50 | %v | 1.5 |\n| latency p99 | %v | 1.5 |\n", r.P50, r.P99)
+	fmt.Printf("| processor time | %v | 1.6 |\n| processor time with callers and targets | %v | |\n\n", r.CPU, r.WholeCPU)
+	return nil
+}
+
+func decision(o options) error {
+	d := experiment.Decision{Seed: o.Seed, Repetitions: o.Repetitions, Requests: 100_000, Teams: 150, Pools: 82, Workers: 910, Members: 150}
+	r, err := d.Run(context.Background())
+	if err != nil {
+		return err
+	}
+	fmt.Printf("Decision: admission and target selection, %d teams, %d pools, %d workers, seed %d, %d repetitions of %d requests.\n\n",
+		d.Teams, d.Pools, d.Workers, d.Seed, d.Repetitions, d.Requests)
+	fmt.Printf("| | ns a request | allocations a request |\n|---|---|---|\n")
+	fmt.Printf("| citronknot | %v | %v |\n| first come, random target | %v | %v |\n| goal | 3000 | 2 |\n", r.Nanos, r.Allocations, r.FirstComeNanos, r.FirstComeAllocations)
+	fmt.Printf("\nRatio of the times: %v.\n\n", r.Ratio)
+	return nil
+}
