Measure the policy under rotating demand in virtual time

Cause: shares, goodput, refusals and urgent work under load had no figures beyond a steady full pool. Ruled out: a cluster simulator; the driver calls caller.Scheduler, target.Choose, target.Health and target.RetryBudget and keeps only slots, run times and load summaries that arrive late. Change: scenarios of both users' sizes, two first-come baselines, `make measure` prints the tables.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"runtime/pprof"
 	"slices"
+	"sync"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/rotisserie/eris"
@@ -47,7 +48,7 @@
 	for _, m := range []struct {
 		name string
 		run  func(options) error
-	}{{"loopback", loopback}, {"decision", decision}} {
+	}{{"loopback", loopback}, {"decision", decision}, {"policy", policy}} {
 		if len(o.Only) > 0 && !slices.Contains(o.Only, m.name) {
 			continue
 		}
@@ -85,3 +86,74 @@
 	fmt.Printf("\nRatio of the times: %v.\n\n", r.Ratio)
 	return nil
 }
+
+func policy(o options) error {
+	const seeds = 5
+	fmt.Printf("Policy under load in virtual time, seeds %d to %d; median (least to most) over the seeds.\n\n", o.Seed, o.Seed+seeds-1)
+	for _, build := range []func(uint64) experiment.Scenario{experiment.Association, experiment.Agency} {
+		for _, outage := range []bool{false, true} {
+			at := func(seed uint64) experiment.Scenario {
+				if s := build(seed); !outage {
+					return s
+				}
+				return build(seed).WithOutage()
+			}
+			compare(at, o.Seed, seeds)
+		}
+	}
+	return nil
+}
+
+// compare prints the figures of one scenario for all policies.
+func compare(at func(seed uint64) experiment.Scenario, seed uint64, seeds int) {
+	s := at(seed)
+	fmt.Printf("%s: %d teams, %d pools of %d workers with %d slots, %d members, peaks of %d ms, %d s.\n\n",
+		s.Name, len(s.Shares), s.Pools, s.Workers, s.Slots, s.Members, s.Peak, s.Length/1000)
+	results := map[experiment.Policy][]experiment.Result{}
+	fmt.Print("| |")
+	for _, p := range experiment.Policies {
+		fmt.Printf(" %s |", p)
+		results[p] = make([]experiment.Result, seeds)
+		var wait sync.WaitGroup
+		for k := range seeds {
+			wait.Go(func() { results[p][k] = at(seed + uint64(k)).Run(p) })
+		}
+		wait.Wait()
+	}
+	fmt.Print("\n|---|---|---|---|---|\n")
+	for _, row := range rows {
+		fmt.Printf("| %s |", row.name)
+		for _, p := range experiment.Policies {
+			var spread experiment.Spread
+			for _, r := range results[p] {
+				spread = append(spread, row.of(r))
+			}
+			fmt.Printf(" %v |", spread)
+		}
+		fmt.Println()
+	}
+	fmt.Println()
+}
+
+var rows = []struct {
+	name string
+	of   func(experiment.Result) float64
+}{
+	{"requests offered", func(r experiment.Result) float64 { return float64(r.Offered) }},
+	{"finished in time, %", func(r experiment.Result) float64 { return 100 * r.Goodput() }},
+	{"cut off at the deadline", func(r experiment.Result) float64 { return float64(r.Late) }},
+	{"lost with workers", func(r experiment.Result) float64 { return float64(r.Lost) }},
+	{"refused", func(r experiment.Result) float64 { return float64(r.Refused) }},
+	{"refused falsely", func(r experiment.Result) float64 { return float64(r.False) }},
+	{"refused after a slot was granted", func(r experiment.Result) float64 { return float64(r.Unplaced) }},
+	{"refusals by guards", func(r experiment.Result) float64 { return float64(r.Guards) }},
+	{"slots in use while full, %", func(r experiment.Result) float64 { return 100 * r.MeanInUse() }},
+	{"slots granted to members while full, %", func(r experiment.Result) float64 { return 100 * r.MeanGranted() }},
+	{"share error, largest, %", func(r experiment.Result) float64 { return 100 * r.LargestShareError() }},
+	{"share error, mean, %", func(r experiment.Result) float64 { return 100 * r.MeanShareError() }},
+	{"share errors counted", func(r experiment.Result) float64 { return float64(len(r.ShareErrors)) }},
+	{"urgent start delay p50, ms", func(r experiment.Result) float64 { return r.UrgentDelay(50) }},
+	{"urgent start delay p99, ms", func(r experiment.Result) float64 { return r.UrgentDelay(99) }},
+	{"urgent start delay max, ms", func(r experiment.Result) float64 { return r.UrgentDelay(100) }},
+	{"urgent not started", func(r experiment.Result) float64 { return float64(r.UrgentOpen) }},
+}
--- /dev/null
+++ b/experiment/export_test.go
@@ -0,0 +1,4 @@
+package experiment
+
+// ShareErrors is for tests of the figure itself.
+var ShareErrors = shareErrors
--- /dev/null
+++ b/experiment/scenario_test.go
@@ -0,0 +1,39 @@
+package experiment_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"citronknot/experiment"
+)
+
+// Guards against runs that depend on more than the seed, that lose or count twice a request, or
+// that measure no full period.
+func TestScenario(t *testing.T) {
+	for _, p := range experiment.Policies {
+		t.Run(string(p), func(t *testing.T) {
+			t.Parallel()
+			s := experiment.Agency(3).WithOutage()
+			s.Length = 20_000
+			r := s.Run(p)
+			must.Eq(t, r, s.Run(p))
+			must.Eq(t, r.Offered, r.InTime+r.Late+r.Lost+r.Refused)
+			must.LessEq(t, r.Refused, r.False)
+			must.SliceNotEmpty(t, r.ShareErrors)
+			must.SliceNotEmpty(t, r.UrgentDelays)
+		})
+	}
+}
+
+// Guards against refusals of an idle fleet and against demand that does not follow the rotation.
+func TestScenarioWithLittleDemand(t *testing.T) {
+	s := experiment.Association(1)
+	s.Mean, s.Length = 0.05, 20_000
+	for _, p := range experiment.Policies {
+		r := s.Run(p)
+		must.Greater(t, 1_000, r.Offered)
+		must.Eq(t, 0, r.Refused, must.Sprint(p))
+		must.SliceEmpty(t, r.ShareErrors)
+	}
+}
--- a/experiment/spread.go
+++ b/experiment/spread.go
@@ -16,7 +16,15 @@
 	if len(s) == 0 {
 		return "none"
 	}
-	return fmt.Sprintf("%.3g (%.3g to %.3g)", s.Median(), slices.Min(s), slices.Max(s))
+	return fmt.Sprintf("%s (%s to %s)", figure(s.Median()), figure(slices.Min(s)), figure(slices.Max(s)))
+}
+
+// figure shows three digits, or all before the decimal point.
+func figure(v float64) string {
+	if v >= 100 {
+		return fmt.Sprintf("%.0f", v)
+	}
+	return fmt.Sprintf("%.3g", v)
 }
 
 // percentile returns the nearest-rank percentile, or 0 without values.
