Add the capacity measurement

Cause: the budgets of the two-year size had no measured slopes but those of the exchange. Ruled out: Go benchmarks alone, because memory and bytes of a whole process need real processes. Before/after: the stand-in counted reads and writes in process only; GET /counters now returns them with bytes.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint fmt model chaos
+.PHONY: build demo test lint fmt model chaos capacity
 
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
@@ -28,3 +28,10 @@
 SEED ?= 1
 chaos: build
 	$(GO) test -tags chaos -count 1 -timeout 10m -v ./chaos -args -seed $(SEED)
+
+# capacity measures the figures of docs/CAPACITY.md; it takes about 7 minutes.
+capacity: build
+	scripts/capacity.sh
+	bin/capacity change
+	bin/capacity escrow
+	bin/capacity claims
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -45,6 +45,8 @@
 
 	Writes atomic.Int64 // commits applied
 	Reads  atomic.Int64 // queries answered
+
+	counts counts
 }
 
 // SetFaults replaces the failures shown.
@@ -138,6 +140,7 @@
 		}
 	}
 	if len(out.Conflicts) > 0 {
+		p.counts.refused.Add(1)
 		return out, http.StatusConflict
 	}
 	if p.rows == nil {
@@ -156,6 +159,7 @@
 		out.Versions = append(out.Versions, p.last)
 	}
 	p.Writes.Add(1)
+	p.counts.rows.Add(int64(len(t.Writes)))
 	return out, http.StatusOK
 }
 
@@ -183,7 +187,8 @@
 	return out
 }
 
-// ServeHTTP serves the platform's protocol, and POST /faults and /instances to steer it.
+// ServeHTTP serves the platform's protocol, POST /faults and /instances to steer it, and
+// GET /counters to watch it.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case "/faults":
@@ -192,6 +197,9 @@
 			p.SetFaults(f)
 		}
 		return
+	case "/counters":
+		p.serveCounters(w)
+		return
 	case "/instances":
 		var in platform.WireInstance
 		if decode(w, r, &in) {
@@ -255,6 +263,7 @@
 			answer(w, http.StatusOK, p.Query(q))
 		}
 	case r.URL.Path == "/v1/instances":
+		p.counts.lists.Add(1)
 		answer(w, http.StatusOK, p.list())
 	case strings.HasPrefix(r.URL.Path, "/v1/instances/") && strings.HasSuffix(r.URL.Path, "/reboot"):
 		id := strings.TrimSuffix(strings.TrimPrefix(r.URL.Path, "/v1/instances/"), "/reboot")
@@ -263,6 +272,7 @@
 		}
 		w.WriteHeader(http.StatusAccepted)
 	case strings.HasPrefix(r.URL.Path, "/v1/objects/"):
+		p.counts.objects.Add(1)
 		p.object(w, r, strings.TrimPrefix(r.URL.Path, "/v1/objects/"))
 	default:
 		http.NotFound(w, r)
--- a/standin/platformd/main.go
+++ b/standin/platformd/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -19,8 +20,13 @@
 	if _, err := flags.Parse(&opts); err != nil {
 		os.Exit(2)
 	}
-	server := &http.Server{Addr: opts.Listen, Handler: &standin.Platform{}, ReadHeaderTimeout: 5 * time.Second}
-	if err := server.ListenAndServe(); err != nil {
+	p := &standin.Platform{}
+	server := &http.Server{Handler: p, ReadHeaderTimeout: 5 * time.Second}
+	listener, err := net.Listen("tcp", opts.Listen)
+	if err == nil {
+		err = server.Serve(p.Listener(listener))
+	}
+	if err != nil {
 		slog.Error("platformd: listen failed", "err", err)
 		os.Exit(1)
 	}
