--- a/cmd/capacity/change.go
+++ b/cmd/capacity/change.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"runtime"
 	"slices"
@@ -18,7 +17,7 @@
 
 // change measures one configuration change and the start of a process at each size.
 type change struct {
-	Notes int `long:"notes" default:"1000" description:"release notes that a process starts from"`
+	Notes int `long:"notes" default:"1050" description:"release notes that a process starts from"`
 }
 
 // repeats is the number of runs of each figure; the median and the spread are printed.
@@ -128,13 +127,31 @@
 			return err
 		}
 	}
-	reads := p.Reads.Load()
-	runs := int64(0)
-	err := printCost(fmt.Sprintf("%s: start from %d notes", s, c.Notes), 1, func(int) error {
-		runs++
-		f := &peer.Follower{Log: log, Current: &fleet.Current{}, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
-		return f.Refresh(ctx)
-	})
-	fmt.Printf("| %s: reads for %d notes | %d | | |\n", s, c.Notes, (p.Reads.Load()-reads)/runs)
-	return err
+	snapshot, err := s.config()
+	if err != nil {
+		return err
+	}
+	for i := 1; i < c.Notes-c.Notes%int(platform.SnapshotEvery); i++ {
+		if snapshot, err = snapshot.Merge(s.ordinary(i, fleet.Version(i))); err != nil {
+			return err
+		}
+	}
+	load := func(context.Context) (*fleet.Config, error) { return snapshot, nil }
+	for _, with := range []struct {
+		name string
+		load func(context.Context) (*fleet.Config, error)
+	}{{"", nil}, {" and a snapshot", load}} {
+		reads, runs := p.Reads.Load(), int64(0)
+		label := fmt.Sprintf("%s: start with %d notes%s", s, c.Notes, with.name)
+		err := printCost(label, 1, func(int) error {
+			runs++
+			f := &peer.Follower{Log: log, Current: &fleet.Current{}, Logger: slog.New(slog.DiscardHandler), Snapshot: with.load}
+			return f.Refresh(ctx)
+		})
+		if err != nil {
+			return err
+		}
+		fmt.Printf("| %s: table reads | %d | | |\n", label, (p.Reads.Load()-reads)/runs)
+	}
+	return nil
 }
--- a/entry/process.go
+++ b/entry/process.go
@@ -95,7 +95,8 @@
 func (p *Process) connectPeers() {
 	p.follower = &peer.Follower{
 		Clock: p.clock, Log: &platform.ConfigLog{Table: p.client.Table()}, Current: &p.current, Logger: p.log,
-		Changed: func() { p.syncer.Changed() },
+		Changed:  func() { p.syncer.Changed() },
+		Snapshot: (&platform.Snapshots{Table: p.client.Table(), Objects: p.client.Objects()}).Load,
 	}
 	scheme := "http"
 	if p.settings.PeerCert != "" {
--- a/peer/follower.go
+++ b/peer/follower.go
@@ -22,6 +22,9 @@
 	Current *fleet.Current
 	Every   clock.Millis // between two reads of the head; 0 means 1000
 	Logger  *slog.Logger
+	// Snapshot returns a configuration that was accepted, or nil if there is none. It is asked
+	// before more notes are read than one read returns. Nil means that all notes are read.
+	Snapshot func(context.Context) (*fleet.Config, error)
 	// Changed is called after the configuration advanced. Nil does nothing.
 	Changed func()
 
@@ -36,6 +39,9 @@
 func (f *Follower) Refresh(ctx context.Context) error {
 	sent := f.Clock.Mark()
 	head, err := f.Log.Head(ctx)
+	if err == nil && f.held()+platform.MaxRows < head.Version {
+		f.skip(ctx)
+	}
 	for err == nil && f.held() < head.Version {
 		from := f.held()
 		var list []fleet.ReleaseNote
@@ -57,6 +63,34 @@
 	return err
 }
 
+// skip advances to the newest snapshot. Two years of release notes are 1.5 million rows, which
+// a new process must not read. Without a snapshot the notes are read.
+func (f *Follower) skip(ctx context.Context) {
+	if f.Snapshot == nil {
+		return
+	}
+	c, err := f.Snapshot(ctx)
+	switch {
+	case err != nil:
+		if ctx.Err() == nil {
+			f.Logger.Warn("peer: snapshot not read", "err", err)
+		}
+		return
+	case c == nil:
+		return
+	}
+	f.mu.Lock()
+	advanced := f.Current.Advance(c)
+	f.mu.Unlock()
+	if !advanced {
+		return
+	}
+	f.Logger.Info("peer: configuration taken from a snapshot", "version", c.Version, "note", c.Note)
+	if f.Changed != nil {
+		f.Changed()
+	}
+}
+
 // Apply applies accepted notes that follow the configuration held, in version order, and
 // returns how many it applied. A note with another base is left out. The notes come from the
 // table service or from a member that applied them.
--- /dev/null
+++ b/peer/follower_test.go
@@ -0,0 +1,82 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"citronknot/fleet"
+	"citronknot/peer"
+	"citronknot/platform"
+	"citronknot/standin"
+)
+
+// Guards against a new process that reads every release note although a snapshot exists, and
+// against one that does not start when the snapshot cannot be read or is missing.
+func TestStartsFromTheSnapshot(t *testing.T) {
+	const versions = 350
+	ctx := context.Background()
+	p := &standin.Platform{}
+	log := &platform.ConfigLog{Table: p.Table()}
+	c := &fleet.Config{}
+	var snapshot *fleet.Config
+	for v := range fleet.Version(versions) {
+		n := fleet.ReleaseNote{ID: fleet.NoteID(fmt.Sprint("n", v)), Base: v}
+		n.Added.Pools = []fleet.Pool{{ID: fleet.PoolID(fmt.Sprint("p", v)), MaxAbsent: 1}}
+		_, err := log.Accept(ctx, n)
+		must.NoError(t, err)
+		c, err = c.Merge(n)
+		must.NoError(t, err)
+		if c.Version == 300 {
+			snapshot = c
+		}
+	}
+	tests := []struct {
+		name     string
+		snapshot *fleet.Config
+		err      error
+		reads    int64 // of the head and of notes
+	}{
+		{"snapshot", snapshot, nil, 2},
+		{"none", nil, nil, 5},
+		{"unreadable", nil, errors.New("no answer"), 5},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			before := p.Reads.Load()
+			changed := 0
+			f := &peer.Follower{
+				Log: log, Current: &fleet.Current{}, Logger: slog.New(slog.DiscardHandler), Changed: func() { changed++ },
+				Snapshot: func(context.Context) (*fleet.Config, error) { return tt.snapshot, tt.err },
+			}
+			must.NoError(t, f.Refresh(ctx))
+			must.Eq(t, c, f.Current.Load())
+			must.Eq(t, tt.reads, p.Reads.Load()-before)
+			must.Positive(t, changed)
+			age, ok := f.Age()
+			must.True(t, ok)
+			must.Less(t, 3000, age)
+		})
+	}
+}
+
+// Guards against a snapshot that replaces a newer configuration.
+func TestOlderSnapshotIsLeftOut(t *testing.T) {
+	ctx := context.Background()
+	log := &platform.ConfigLog{Table: (&standin.Platform{}).Table()}
+	f := &peer.Follower{
+		Log: log, Current: &fleet.Current{}, Logger: slog.New(slog.DiscardHandler),
+		Snapshot: func(context.Context) (*fleet.Config, error) { return &fleet.Config{Version: 3}, nil },
+	}
+	f.Current.Advance(&fleet.Config{Version: 5})
+	for v := range fleet.Version(5 + platform.MaxRows + 1) {
+		_, err := log.Accept(ctx, fleet.ReleaseNote{ID: fleet.NoteID(fmt.Sprint("n", v)), Base: v})
+		must.NoError(t, err)
+	}
+	must.NoError(t, f.Refresh(ctx))
+	must.Eq(t, 5+platform.MaxRows+1, f.Current.Load().Version)
+}
