Read the instance list only if it changed

Cause: each member read the whole list each second: 49 KB a second of 49.5 for one idle process at 910 workers. Ruled out: reading it less often, because a leaving target must get no work after 3 s.

--- a/standin/platform.go
+++ b/standin/platform.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"hash/fnv"
 	"io"
 	"net/http"
 	"sort"
@@ -264,7 +266,7 @@
 		}
 	case r.URL.Path == "/v1/instances":
 		p.counts.lists.Add(1)
-		answer(w, http.StatusOK, p.list())
+		p.serveList(w, r)
 	case strings.HasPrefix(r.URL.Path, "/v1/instances/") && strings.HasSuffix(r.URL.Path, "/reboot"):
 		id := strings.TrimSuffix(strings.TrimPrefix(r.URL.Path, "/v1/instances/"), "/reboot")
 		if p.Reboot != nil {
@@ -279,6 +281,20 @@
 	}
 }
 
+// serveList answers with the list, or with 304 if the caller holds it.
+func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
+	list := p.list()
+	hash := fnv.New64a()
+	_ = json.NewEncoder(hash).Encode(list)
+	tag := fmt.Sprintf(`"%016x"`, hash.Sum64())
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	answer(w, http.StatusOK, list)
+}
+
 func (p *Platform) list() platform.WireInstances {
 	p.mu.Lock()
 	defer p.mu.Unlock()
