--- a/chaos/chaos_test.go
+++ b/chaos/chaos_test.go
@@ -136,8 +136,12 @@
 				n.Added.Teams = []fleet.Team{{ID: fleet.TeamID(fmt.Sprintf("race-%d-%d", round, i)), Limit: 1}}
 				text, err := note.Encode(n)
 				must.NoError(t, err)
-				_, err = w.operator(i).Apply(context.Background(), text)
 				var p *operator.Problem
+				w.eventually(10*time.Second, "answer to a racing note", func() bool {
+					_, err = w.operator(i).Apply(context.Background(), text)
+					// A new member accepts release notes once every member has acknowledged it.
+					return !errors.As(err, &p) || p.Status != http.StatusServiceUnavailable
+				})
 				mu.Lock()
 				defer mu.Unlock()
 				switch {
--- a/experiment/sharemeter.go
+++ b/experiment/sharemeter.go
@@ -85,7 +85,7 @@
 // finish ends a full period and notes its figures.
 func (m *shareMeter) finish() {
 	if m.since >= 0 && m.last-m.since >= settle+leastWindow {
-		m.errors = append(m.errors, shareErrors(m.used, m.demand, m.shares)...)
+		m.errors = append(m.errors, ShareErrors(m.used, m.demand, m.shares)...)
 		used := 0.0
 		for _, n := range m.used {
 			used += n
@@ -96,9 +96,9 @@
 	m.since = -1
 }
 
-// shareErrors returns the distance from its share of each team that demanded more. What teams
+// ShareErrors returns the distance from its share of each team that demanded more. What teams
 // with less demand leave is divided among the others by share.
-func shareErrors(used, demand []float64, shares []fleet.Share) []float64 {
+func ShareErrors(used, demand []float64, shares []fleet.Share) []float64 {
 	left, weights := 0.0, 0.0
 	order := make([]int, len(used))
 	for t := range used {
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -19,6 +19,8 @@
 	err   error // nil if the response was passed on
 	sent  bool  // the target may have run the request
 	retry bool  // a retry is already taken from the budget
+	// refused is set if the target's guard refused the request.
+	refused bool
 
 	silent bool // the connection, not the target, is to be avoided
 }
@@ -73,7 +75,7 @@
 	if refused(resp, x.q) {
 		o.Result = Refused
 		reuse = drain(resp)
-		return result{err: eris.New("the target's guard refused the request")}
+		return result{err: eris.New("the target's guard refused the request"), refused: true}
 	}
 	if err := verify(resp, x.q); err != nil {
 		o.Result = Mismatched
@@ -159,7 +161,7 @@
 	if a.settled || a.last || !a.x.q.Idempotent || !a.x.body.replayable() || a.x.ctx.Err() != nil {
 		return
 	}
-	if a.x.retry() {
+	if a.x.retry(a.x.p.full(a.x.d.Clock.Now())) {
 		a.settled, a.retry = true, true
 		a.cancel(errSilent)
 	}
--- a/target/budget.go
+++ b/target/budget.go
@@ -46,7 +46,7 @@
 			retries += k.retries
 		}
 	}
-	if retries*100 >= requests*retryPercent+retryMinimum*100 {
+	if (retries+1)*100 > requests*retryPercent+retryMinimum*100 {
 		return false
 	}
 	current.retries++
--- a/target/dispatcher.go
+++ b/target/dispatcher.go
@@ -37,6 +37,7 @@
 type Error struct {
 	Sent     bool // a target may have run the request
 	Attempts int
+	Refusals int // attempts that a guard refused
 	Err      error
 }
 
@@ -91,52 +92,89 @@
 	return x.run()
 }
 
-// run tries targets until one answers or no further attempt is allowed. After a retry, the
-// outcome is not_run only if no attempt can have run.
+// A request that found no free slot waits for one: members and guards can disagree for some
+// seconds when members come and go. A look for a slot costs nothing. An attempt that a guard may
+// refuse does, so the pause between attempts doubles.
+const (
+	lookPause  = 5 * time.Millisecond
+	firstPause = 50 * time.Millisecond
+	lastPause  = 400 * time.Millisecond
+	slotWait   = 2 * time.Second
+)
+
+// run tries targets until one answers or no further attempt is allowed.
 func (x *exchange) run() error {
+	failure := &Error{Err: errNoTarget}
+	pause := firstPause
+	for giveUp := time.Now().Add(slotWait); ; {
+		if x.round(failure) {
+			return nil
+		}
+		onlySlots := !failure.Sent && failure.Attempts == failure.Refusals
+		fresh := failure.Attempts == 0 || x.body.replayable()
+		if !onlySlots || !fresh || time.Now().After(giveUp) {
+			return failure
+		}
+		wait := lookPause
+		if failure.Attempts > 0 {
+			wait, pause = pause, min(2*pause, lastPause)
+		}
+		select {
+		case <-x.ctx.Done():
+			return failure
+		case <-time.After(wait):
+		}
+	}
+}
+
+// round tries up to maxAttempts targets and reports whether one answered. After a retry, the
+// outcome is not_run only if no attempt can have run.
+func (x *exchange) round(failure *Error) (answered bool) {
 	var space [maxAttempts]*state
 	tried := space[:0]
-	failure := &Error{Err: errNoTarget}
+	paid := failure.Attempts == 0 // the attempt is the first, or its retry is taken from the budget
 	for n := range maxAttempts {
+		full := x.p.full(x.d.Clock.Now()) // before this request counts as in flight
 		s := x.p.acquire(x.d.Clock.Now(), tried)
 		if s == nil {
-			return failure
+			return false
+		}
+		if !paid && !x.retry(full) {
+			s.finish()
+			return false
 		}
 		res := x.attempt(s, n)
 		if !res.silent {
 			tried = append(tried, s)
 		}
 		if res.err == nil {
-			return nil
+			return true
+		}
+		failure.Attempts++
+		if res.refused {
+			failure.Refusals++
 		}
-		failure.Attempts = n + 1
 		failure.Sent = failure.Sent || res.sent
 		failure.Err = res.err
-		if n+1 == maxAttempts || !x.again(res) {
-			break
+		if !res.retry && !x.repeatable(res) {
+			return false
 		}
+		paid = res.retry
 	}
-	return failure
+	return false
 }
 
-// again reports whether the request may be tried again, and takes it from the retry budget.
-// It is the one place that allows a retry (I8).
-func (x *exchange) again(res result) bool {
-	if res.retry {
-		return true
-	}
-	if res.sent && !x.q.Idempotent || !x.body.replayable() || x.ctx.Err() != nil {
-		return false
-	}
-	return x.retry()
+// repeatable reports whether the request may be sent again. It is the one place that allows
+// that (I8).
+func (x *exchange) repeatable(res result) bool {
+	return (!res.sent || x.q.Idempotent) && x.body.replayable() && x.ctx.Err() == nil
 }
 
-func (x *exchange) retry() bool {
-	now := x.d.Clock.Now()
-	full := x.p.full(now)
+// retry takes a retry from the budget, if there is one.
+func (x *exchange) retry(full bool) bool {
 	x.p.mu.Lock()
 	defer x.p.mu.Unlock()
-	return x.p.budget.Retry(now, full)
+	return x.p.budget.Retry(x.d.Clock.Now(), full)
 }
 
 // SetPeers replaces the numbers of requests that the other members have in flight on the
