Measure steady demand and bytes of the escrow

Cause: the page had no ordinary load of the escrow and no bytes of its rows. Ruled out: the idle processes, which use no teams and so read no limit rows.

--- a/Makefile
+++ b/Makefile
@@ -29,9 +29,10 @@
 chaos: build
 	$(GO) test -tags chaos -count 1 -timeout 10m -v ./chaos -args -seed $(SEED)
 
-# capacity measures the figures of docs/CAPACITY.md; it takes about 7 minutes.
+# capacity measures the figures of docs/CAPACITY.md; it takes about 9 minutes.
 capacity: build
 	scripts/capacity.sh
 	bin/capacity change
 	bin/capacity escrow
+	bin/capacity escrow --steady
 	bin/capacity claims
--- a/cmd/capacity/escrow.go
+++ b/cmd/capacity/escrow.go
@@ -21,6 +21,7 @@
 	Time    time.Duration `long:"time" default:"20s" description:"time of one run after 6 s to settle"`
 	Delay   time.Duration `long:"delay" default:"5ms" description:"delay of the table service"`
 	Load    float64       `long:"load" default:"0.85" description:"mean demand as a part of all slots"`
+	Steady  bool          `long:"steady" description:"the demand of each team stays at its mean"`
 	Members []int         `long:"members" description:"numbers of members; default 8, 40 and 150"`
 }
 
@@ -31,8 +32,8 @@
 	}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	fmt.Println("| teams | members | writes/s | rows a write | refused/s | reads/s | starts/s | denied |")
-	fmt.Println("|---|---|---|---|---|---|---|---|")
+	fmt.Println("| teams | members | writes/s | rows a write | refused/s | reads/s | starts/s | denied | KB/s a member |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|")
 	var first error
 	for _, s := range sizes {
 		for _, m := range e.Members {
@@ -64,6 +65,7 @@
 	phase    []float64 // of each team's demand
 	starts   atomic.Int64
 	denied   atomic.Int64
+	bytes    atomic.Int64 // of rows read, checked and written
 }
 
 func (e *escrow) run(s size, members int) (string, error) {
@@ -72,7 +74,8 @@
 		return "", err
 	}
 	p := &standin.Platform{}
-	f := &field{settings: e, size: s, config: config, table: delayed(p.Table(), e.Delay), members: members}
+	f := &field{settings: e, size: s, config: config, members: members}
+	f.table = counted(delayed(p.Table(), e.Delay), &f.bytes)
 	r := rand.New(rand.NewPCG(e.Seed, uint64(members)))
 	for range s.Teams {
 		f.phase = append(f.phase, 12*r.Float64())
@@ -84,17 +87,47 @@
 		wg.Go(func() { f.member(ctx, i, rnd) })
 	}
 	time.Sleep(6 * time.Second)
-	c, starts, denied := p.Counters(), f.starts.Load(), f.denied.Load()
+	c, starts, denied, moved := p.Counters(), f.starts.Load(), f.denied.Load(), f.bytes.Load()
 	time.Sleep(e.Time)
 	d := p.Counters()
-	starts, denied = f.starts.Load()-starts, f.denied.Load()-denied
+	starts, denied, moved = f.starts.Load()-starts, f.denied.Load()-denied, f.bytes.Load()-moved
 	cancel()
 	wg.Wait()
 	t, renewals := e.Time.Seconds(), float64(members)/3
 	writes := float64(d.Writes-c.Writes)/t - renewals
-	return fmt.Sprintf("| %d | %d | %.1f | %.1f | %.2f | %.1f | %.0f | %.1f%% |", s.Teams, members, writes,
+	return fmt.Sprintf("| %d | %d | %.1f | %.1f | %.2f | %.1f | %.0f | %.1f%% | %.1f |", s.Teams, members, writes,
 		(float64(d.Rows-c.Rows)/t-renewals)/max(writes, 0.01), float64(d.Refused-c.Refused)/t,
-		float64(d.Reads-c.Reads)/t-renewals, float64(starts)/t, 100*float64(denied)/float64(max(1, denied+starts))), nil
+		float64(d.Reads-c.Reads)/t-renewals, float64(starts)/t, 100*float64(denied)/float64(max(1, denied+starts)), float64(moved)/t/float64(members)/1000), nil
+}
+
+// rowBytes is about what a row or a check takes as JSON beside its table, key and value.
+const rowBytes = 45
+
+// counted counts the bytes of limit rows as JSON, without HTTP headers.
+func counted(t *platform.Table, bytes *atomic.Int64) *platform.Table {
+	count := func(r platform.Ref, value []byte) {
+		if r.Table == "limits" {
+			bytes.Add(int64(rowBytes + len(r.Table) + len(r.Key) + len(value)))
+		}
+	}
+	return &platform.Table{
+		Transact: func(ctx context.Context, x platform.Transaction) ([]fleet.Version, error) {
+			for _, c := range x.Checks {
+				count(c.Ref, nil)
+			}
+			for _, w := range x.Writes {
+				count(w.Ref, w.Value)
+			}
+			return t.Transact(ctx, x)
+		},
+		Read: func(ctx context.Context, q platform.Query) ([]platform.Row, error) {
+			rows, err := t.Read(ctx, q)
+			for _, r := range rows {
+				count(r.Ref, r.Value)
+			}
+			return rows, err
+		},
+	}
 }
 
 // delayed adds a delay to each call of a table.
@@ -191,6 +224,9 @@
 
 // wave is a team's demand over its mean: 5 for 2.3 of 12 s and 0.05 in between.
 func (f *field) wave(team int, at float64) float64 {
+	if f.settings.Steady {
+		return 1
+	}
 	whole := at + f.phase[team]
 	if whole-12*float64(int(whole/12)) < 2.3 {
 		return 5
