--- a/Makefile
+++ b/Makefile
@@ -33,9 +33,10 @@
 measure: build
 	bin/measure --seed $(SEED) $(ARGS)
 
-# capacity measures the figures of docs/CAPACITY.md; it takes about 7 minutes.
+# capacity measures the figures of docs/CAPACITY.md; it takes about 9 minutes.
 capacity: build
 	scripts/capacity.sh
 	bin/capacity change
 	bin/capacity escrow
+	bin/capacity escrow --steady
 	bin/capacity claims
