Start requests with a margin in an overload, and shorten the wait for a slot

Change: while others wait, a request starts only with two mean run times left, or half of its own time; the wait for a slot is 300 ms. Mutation: a margin of 0 fails TestStartMarginWhileOthersWait.

--- a/caller/runtimes.go
+++ b/caller/runtimes.go
@@ -14,12 +14,13 @@
 	runTimeMaxAge clock.Millis = 10_000
 )
 
-// runTimes estimates the least time that a request runs from what was seen. Callers' own
+// runTimes estimates the time that a request runs from what was seen. Callers' own
 // figures are far off and are not used. The zero value has seen nothing.
 type runTimes struct {
 	current, previous struct {
 		count int
 		least clock.Millis
+		sum   clock.Millis
 	}
 	since clock.Millis // start of the current block
 	last  clock.Millis // newest run time
@@ -28,7 +29,7 @@
 func (t *runTimes) add(now, run clock.Millis) {
 	if t.current.count >= runTimeBlock || t.current.count > 0 && now-t.since > runTimeBlockAge {
 		t.previous = t.current
-		t.current.count = 0
+		t.current.count, t.current.sum = 0, 0
 	}
 	if t.current.count == 0 {
 		t.since = now
@@ -36,6 +37,7 @@
 	}
 	t.current.count++
 	t.current.least = min(t.current.least, run)
+	t.current.sum += run
 	t.last = now
 }
 
@@ -50,3 +52,11 @@
 	}
 	return run, true
 }
+
+// mean returns the mean run time seen lately. ok is false without enough evidence.
+func (t *runTimes) mean(now clock.Millis) (run clock.Millis, ok bool) {
+	if _, ok := t.least(now); !ok {
+		return 0, false
+	}
+	return (t.current.sum + t.previous.sum) / clock.Millis(t.current.count+t.previous.count), true
+}
--- a/caller/scheduler.go
+++ b/caller/scheduler.go
@@ -224,7 +224,7 @@
 	for teams.len() > 0 {
 		f := teams.items[0]
 		r := f.first(teams == &s.urgent)
-		if run, ok := r.ticket.line.run.least(now); r.Deadline <= now || ok && now+run > r.Deadline {
+		if s.hopeless(now, r) {
 			s.refuse(now, r)
 			continue
 		}
@@ -246,6 +246,28 @@
 	return nil
 }
 
+// startMargin is the number of mean run times that a request needs before its deadline to start
+// while others wait. In an overload the earliest deadline comes first, so requests would
+// otherwise start when they can just no longer end in time, and waste their slots.
+const startMargin = 2
+
+// hopeless reports whether r should not start any more. While others wait, the margin applies,
+// but to at most half of the time that the request had, so that short deadlines have a chance.
+func (s *Scheduler) hopeless(now clock.Millis, r *Request) bool {
+	left := r.Deadline - now
+	if left <= 0 {
+		return true
+	}
+	least, ok := r.ticket.line.run.least(now)
+	if !ok {
+		return false
+	}
+	if mean, ok := r.ticket.line.run.mean(now); ok && s.waiting > 1 {
+		least = max(least, min(startMargin*mean, (r.Deadline-r.Arrived)/2))
+	}
+	return left < least
+}
+
 // Remove takes a waiting request out at once and reports whether it was waiting.
 func (s *Scheduler) Remove(r *Request) bool {
 	if r.ticket.phase != phaseWaiting {
--- a/caller/scheduler_test.go
+++ b/caller/scheduler_test.go
@@ -272,3 +272,41 @@
 		must.LessEq(t, 12, c.busy)
 	})
 }
+
+// Guards against an overload in which every request starts when it can just no longer end in
+// time, and against a margin that keeps short deadlines or a lone request from starting.
+func TestStartMarginWhileOthersWait(t *testing.T) {
+	for _, tc := range []struct {
+		name         string
+		wait, waited clock.Millis // deadline from arrival, and time until a slot is free
+		others       bool
+		starts       bool
+	}{
+		{"enough left", 1000, 700, true, true},
+		{"less than two runs left", 1000, 850, true, false},
+		{"alone", 1000, 850, false, true},
+		{"short deadline", 180, 80, true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &caller.Scheduler{}
+			s.SetView(0, caller.View{Slots: 1})
+			q := fleet.Queue{ID: "q", MaxWaiting: 100}
+			now := clock.Millis(0)
+			run := func(r *caller.Request) {
+				must.Nil(t, s.Add(now, r))
+				must.Eq(t, r, s.Next(now))
+				now += 100
+				s.Done(now, r, caller.Ran)
+			}
+			for range 10 {
+				run(&caller.Request{Queue: q, Team: "a", Arrived: now, Deadline: now + 5000})
+			}
+			r := &caller.Request{Queue: q, Team: "a", Arrived: now, Deadline: now + tc.wait}
+			must.Nil(t, s.Add(now, r))
+			if tc.others {
+				must.Nil(t, s.Add(now, &caller.Request{Queue: q, Team: "a", Arrived: now, Deadline: now + 5000}))
+			}
+			must.Eq(t, tc.starts, s.Next(now+tc.waited) == r)
+		})
+	}
+}
--- a/entry/demand.go
+++ b/entry/demand.go
@@ -75,5 +75,5 @@
 // weights are the objectives that the setting --weights names. Without one, instances move by
 // configuration only.
 var weights = map[string]pool.Weights{
-	"none": {}, "association": pool.Association(), "agency": pool.Agency(),
+	"": {}, "none": {}, "association": pool.Association(), "agency": pool.Agency(),
 }
--- a/experiment/scenario.go
+++ b/experiment/scenario.go
@@ -81,6 +81,9 @@
 	placed   clock.Millis // when it started on a worker
 	gaveUp   clock.Millis // when the search for a worker ends
 	active   bool         // runs on a worker
+	failures int          // attempts that no guard refused, since it was last admitted
+	pause    clock.Millis // until the next attempt after refusals by guards
+	resume   clock.Millis // when the next attempt may be made
 }
 
 // generator makes the arrivals of a scenario. The same seed makes the same arrivals for each
--- a/target/dispatcher.go
+++ b/target/dispatcher.go
@@ -99,7 +99,7 @@
 	lookPause  = 5 * time.Millisecond
 	firstPause = 50 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
-	slotWait   = 2 * time.Second
+	slotWait   = 300 * time.Millisecond
 )
 
 // run tries targets until one answers or no further attempt is allowed.
