--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"runtime/pprof"
 	"slices"
+	"strings"
 	"sync"
 
 	"github.com/jessevdk/go-flags"
@@ -120,7 +121,7 @@
 		}
 		wait.Wait()
 	}
-	fmt.Print("\n|---|---|---|---|---|\n")
+	fmt.Print("\n|---|" + strings.Repeat("---|", len(experiment.Policies)) + "\n")
 	for _, row := range rows {
 		fmt.Printf("| %s |", row.name)
 		for _, p := range experiment.Policies {
