Make two chaos checks able to fail

Cause: two mutations passed. Accepting keys at any age was not seen, because a zone that is cut from the store still hears its peers; closing the listener without waiting was not seen, because all requests ended within the delay before it. Change: TestWithdrawnKeyOnCutOffMember, where a member hears neither the store nor peers; requests of 2 s in the planned stops.

--- a/chaos/chaos_test.go
+++ b/chaos/chaos_test.go
@@ -106,10 +106,11 @@
 	}
 }
 
-// Guards against a planned stop that cuts a request.
+// Guards against a planned stop that cuts a request, also one that outlasts the time in which
+// the balancer stops sending.
 func TestPlannedStopCutsNothing(t *testing.T) {
 	w := newWorld(t)
-	l := w.load("stop")
+	l := w.startLoad("stop", true)
 	pause(time.Second)
 	for i := range memberCount {
 		w.signal(w.members[i], syscall.SIGTERM)
@@ -189,6 +190,36 @@
 	}
 }
 
+// Guards against a key that works on a member that hears neither the store nor peers, for longer
+// than the bound after its withdrawal, and against open queues that stop there.
+func TestWithdrawnKeyOnCutOffMember(t *testing.T) {
+	w := newWorld(t)
+	// The credential of the last member, in zone-b, is another one, so it hears no peer.
+	lonely := w.members[memberCount-1]
+	w.signal(lonely, syscall.SIGTERM)
+	<-lonely.done
+	lonely.env = append(lonely.env, "CITRONKNOT_PEER_CREDENTIAL=another-credential")
+	w.run(lonely)
+	w.eventually(10*time.Second, "members ready", func() bool { return w.readyCount() == memberCount })
+	l := w.load("lonely")
+	pause(3 * time.Second)
+	w.faults(standin.Faults{CutZones: []string{"zone-b"}})
+	w.apply(fleet.ReleaseNote{ID: "withdraw", Base: 1, Withdrawn: fleet.Refs{Keys: []fleet.KeyHash{fleet.HashKey(keys["gamma"])}}})
+	w.withdrawn = time.Now()
+	pause((boundSeconds + 3) * time.Second)
+	openServed := false
+	client := &http.Client{Timeout: 6 * time.Second}
+	for n := range 8 {
+		a := l.send(client, attempt{key: fmt.Sprintf("lonely-open-%d", n), queue: "open"})
+		openServed = openServed || a.status == http.StatusOK
+	}
+	all, runs := l.finish(), w.runs()
+	r := w.check(all, runs)
+	t.Logf("last run with the withdrawn key after %v; %+v", last(runs, w.withdrawn, func(x targetRun) bool { return x.Team == "gamma" }), r)
+	must.Eq(t, 0, r.violations())
+	must.True(t, openServed)
+}
+
 func last(runs []targetRun, since time.Time, which func(targetRun) bool) time.Duration {
 	var most time.Duration
 	if since.IsZero() {
--- a/chaos/load_test.go
+++ b/chaos/load_test.go
@@ -36,6 +36,7 @@
 // repeats a request whose outcome it does not know at another member under the same key.
 type load struct {
 	w     *world
+	slow  bool // requests that are not idempotent run for 2 s
 	ready [memberCount]atomic.Bool
 	next  atomic.Int64
 	mu    sync.Mutex
@@ -44,9 +45,11 @@
 	wg    sync.WaitGroup
 }
 
-func (w *world) load(name string) *load {
+func (w *world) load(name string) *load { return w.startLoad(name, false) }
+
+func (w *world) startLoad(name string, slow bool) *load {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &load{w: w, stop: cancel}
+	l := &load{w: w, slow: slow, stop: cancel}
 	for i := range memberCount {
 		l.ready[i].Store(w.ready(i))
 		l.wg.Go(func() {
@@ -107,6 +110,9 @@
 		req.Header.Set("Authorization", "Bearer "+keys[a.team])
 	}
 	req.Header.Set("Idempotency-Key", a.key)
+	if l.slow && a.queue == "dispatch" {
+		req.Header.Set("Work-Ms", "2000")
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return a
