--- a/entry/tend.go
+++ b/entry/housekeeping.go
@@ -10,15 +10,15 @@
 	"citronknot/platform"
 )
 
-// tendEvery is the time between two rounds of the fleet's housekeeping.
-const tendEvery = 10 * time.Second
+// housekeepingEvery is the time between two rounds of the fleet's housekeeping.
+const housekeepingEvery = 10 * time.Second
 
-// tend does the fleet's housekeeping while this member holds the fleet lease: snapshots of the
+// housekeep does the fleet's housekeeping while this member holds the fleet lease: snapshots of the
 // configuration and removal of members that are gone.
-func (p *Process) tend(ctx context.Context) {
+func (p *Process) housekeep(ctx context.Context) {
 	table := p.client.Table()
 	snapshots := &platform.Snapshots{Table: table, Objects: p.client.Objects()}
-	ticker := time.NewTicker(tendEvery)
+	ticker := time.NewTicker(housekeepingEvery)
 	defer ticker.Stop()
 	for {
 		select {
--- a/entry/process.go
+++ b/entry/process.go
@@ -2,24 +2,19 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/jessevdk/go-flags"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
 
 	"citronknot/caller"
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/operator"
 	"citronknot/peer"
 	"citronknot/platform"
 	"citronknot/pool"
@@ -88,124 +83,6 @@
 	return p, nil
 }
 
-func (p *Process) connectPlatform() {
-	s, table := p.settings, p.client.Table()
-	p.members = &platform.Members{
-		Table: table, Clock: p.clock, Gone: p.list.Gone,
-		Self: platform.Member{
-			ID: fleet.MemberID(s.Member), Zone: fleet.ZoneID(s.Zone),
-			CallerAddr: s.CallerAddr, OperatorAddr: s.OperatorAddr, PeerAddr: s.PeerAddress,
-		},
-	}
-	p.escrow = &platform.Escrow{
-		Table: table, Clock: p.clock, Members: p.members, Zone: fleet.ZoneID(s.Zone), Config: p.current.Load,
-		Waiting: p.waitingOf,
-	}
-	p.claims = &platform.Claims{Table: table, Clock: p.clock, Self: p.members.Self.ID}
-	p.fleetLease = &platform.Lease{Table: table, Clock: p.clock, Name: "fleet", Self: p.members.Self.ID}
-}
-
-func (p *Process) connectPeers() {
-	p.follower = &peer.Follower{
-		Clock: p.clock, Log: &platform.ConfigLog{Table: p.client.Table()}, Current: &p.current, Logger: p.log,
-		Changed:  func() { p.syncer.Changed() },
-		Snapshot: (&platform.Snapshots{Table: p.client.Table(), Objects: p.client.Objects()}).Load,
-	}
-	scheme := "http"
-	if p.settings.PeerCert != "" {
-		scheme = "https"
-	}
-	client := &peer.Client{
-		Credential: p.settings.PeerCredential, Scheme: scheme, HTTP: &http.Client{Transport: peer.NewTransport()},
-	}
-	p.syncer = &peer.Syncer{
-		Self: p.members.Self.ID, Zone: p.members.Self.Zone, Clock: p.clock, Logger: p.log,
-		// A restarted member has to be newer than before. It has no disk, so the wall clock says so.
-		Epoch:    uint64(p.clock.Wall()),
-		Follower: p.follower, Assignments: &p.assigned, Members: p.roster, Load: p.ownLoad, Call: client.Call,
-		Targets: p.inFlight,
-	}
-}
-
-func (p *Process) connectTargets() {
-	p.serving = snapshots{
-		current: &p.current, assignments: &p.assigned, list: &p.list, place: &p.place,
-		stale: p.zones.stale,
-	}
-	p.dispatcher = &target.Dispatcher{Clock: p.clock, Zone: p.members.Self.Zone, Serving: p.serving.of}
-	p.admission = &caller.Admission{
-		Clock: p.clock, Slots: p.serving.slots, Loads: p.view, Share: p.share, TryStart: p.tryStart, Finish: p.escrow.Finish,
-	}
-}
-
-func (p *Process) callerServer() *http.Server {
-	s := &caller.Server{
-		Clock: p.clock, Config: p.current.Load, Fresh: p.fresh, Acquire: p.admission.Acquire, Claim: p.claim,
-		Forward: p.forward, Log: p.log, Metrics: p.metrics,
-	}
-	return &http.Server{
-		Handler:           s.Handler(),
-		ReadHeaderTimeout: 5 * time.Second,
-		ReadTimeout:       time.Minute,
-		IdleTimeout:       time.Minute,
-		MaxHeaderBytes:    caller.MaxHeaderBytes,
-	}
-}
-
-func (p *Process) operatorServer() *http.Server {
-	registry := prometheus.NewRegistry()
-	registry.MustRegister(p.metrics.Collectors()...)
-	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "citronknot_config_version", Help: "Version of the configuration in force.",
-	}, func() float64 { return float64(p.current.Load().Version) }))
-	s := &operator.Server{
-		Credential: p.settings.Credential,
-		Config:     p.current.Load,
-		Accept:     p.accept,
-		Refresh:    p.follower.Refresh,
-		Notes:      p.follower.Log.Notes,
-		Placement:  p.placement,
-		SetDrain:   p.controller.SetDrain,
-		Dump:       func() any { return p.Dump() },
-		Ready:      p.ready,
-		Metrics:    promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
-		Log:        p.log,
-	}
-	return &http.Server{
-		Handler: s.Handler(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
-	}
-}
-
-func (p *Process) peerServer() *http.Server {
-	s := &peer.Server{Credential: p.settings.PeerCredential, Answer: p.syncer.Answer}
-	return &http.Server{
-		Handler: s.Handler(), ReadHeaderTimeout: 2 * time.Second, ReadTimeout: 10 * time.Second,
-		IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
-	}
-}
-
-// accept appends a release note to the log, unless some member may not know of this one yet.
-func (p *Process) accept(ctx context.Context, n fleet.ReleaseNote) (fleet.Version, error) {
-	if !p.members.MayAccept() {
-		// The others' acknowledgments may be newer than the last read of the list.
-		if err := p.members.Refresh(ctx); err != nil {
-			return 0, err
-		}
-	}
-	if !p.members.MayAccept() {
-		return 0, &platform.UnavailableError{Op: "accept", Err: eris.New("this member is not known to all members yet; try another one")}
-	}
-	return p.follower.Accept(ctx, n)
-}
-
-// ready reports whether the balancer should send requests here. A member that starts reads its
-// zone's assignment before it routes, because hand-overs do not wait for it.
-func (p *Process) ready() bool {
-	_, known := p.follower.Age()
-	_, read := p.zones.read(p.members.Self.Zone)
-	return p.accepting.Load() && known && read && p.members.Live()
-}
-
 // Start opens the listeners and starts the background work.
 func (p *Process) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -236,7 +113,7 @@
 	p.goRun(func() { p.rebalance(ctx) })
 	p.goRun(func() { p.claims.Run(ctx) })
 	p.goRun(func() { p.fleetLease.Run(ctx) })
-	p.goRun(func() { p.tend(ctx) })
+	p.goRun(func() { p.housekeep(ctx) })
 	p.goRun(func() { p.followZones(ctx) })
 	p.goRun(func() { p.zoneLease.Run(ctx) })
 	p.goRun(func() { p.controller.Run(ctx) })
@@ -272,21 +149,6 @@
 	}
 }
 
-// listen opens a listener, with TLS if a certificate is set.
-func (p *Process) listen(addr string, cert, key flags.Filename) (net.Listener, error) {
-	listener, err := net.Listen("tcp", addr)
-	if err != nil || cert == "" {
-		return listener, eris.Wrap(err, "entry: listen")
-	}
-	files := &CertificateFiles{Cert: string(cert), Key: string(key), Clock: p.clock, Log: p.log}
-	config, err := files.Config()
-	if err != nil {
-		_ = listener.Close()
-		return nil, err
-	}
-	return tls.NewListener(listener, config), nil
-}
-
 func (p *Process) goRun(f func()) {
 	p.running.Go(f)
 }
--- a/entry/zone.go
+++ b/entry/zone.go
@@ -8,6 +8,7 @@
 
 	"citronknot/clock"
 	"citronknot/fleet"
+	"citronknot/peer"
 	"citronknot/platform"
 	"citronknot/pool"
 )
@@ -18,11 +19,12 @@
 	// othersEvery is the number of those reads after which the other zones are read, too.
 	othersEvery = 3
 	// routeLapse is the age from which another zone's assignment is too old to route by. The
-	// own zone's never is: a zone that is cut off goes on serving with its own targets.
+	// own zone's lapses with the member's term: a zone that is cut off goes on serving for an hour.
 	routeLapse clock.Millis = 10_000
 	// releaseAfter is the time after which no member of another zone routes by an older
-	// assignment: the lapse, and a fifth for clocks that run at different rates.
-	releaseAfter clock.Millis = 12_000
+	// assignment, and its load summary was counted after that: the lapse, a fifth of it for clocks
+	// that run at different rates, and 7 s for the oldest summary that counts as news.
+	releaseAfter clock.Millis = 19_000
 )
 
 // zones reads the assignments of all zones and knows how old they are.
@@ -47,7 +49,8 @@
 func (z *zones) stale(zone fleet.ZoneID) bool {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	return z.lapsed[zone]
+	lapsed, looked := z.lapsed[zone]
+	return lapsed || !looked
 }
 
 // update computes which zones have lapsed and reports whether that changed. The own zone's
@@ -114,6 +117,16 @@
 	return v
 }
 
+// sinceNewest returns the time since this process first saw the newest version of the own zone.
+func (z *zones) sinceNewest() clock.Millis {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if len(z.published) == 0 {
+		return 0
+	}
+	return z.clock.AtMost(z.published[len(z.published)-1].seen)
+}
+
 // followZones reads the assignments until ctx ends.
 func (p *Process) followZones(ctx context.Context) {
 	ticker := time.NewTicker(assignmentsEvery)
@@ -192,47 +205,49 @@
 		return nil, err
 	}
 	released := p.zones.released()
-	heard := map[fleet.MemberID]int{}
-	summaries := p.syncer.Summaries()
-	for i, s := range summaries {
-		heard[s.Member] = i
+	// A member that is silent towards this one may still read the table service, so its right to
+	// route by an older version ends its term after the newest one, not after its last news.
+	newest := p.zones.sinceNewest()
+	summaries := map[fleet.MemberID]peer.Summary{}
+	for _, sum := range p.syncer.Summaries() {
+		summaries[sum.Member] = sum
 	}
 	var out []pool.Member
 	for _, m := range p.members.List() {
-		r := pool.Member{ID: m.ID, Zone: m.Zone, Gone: p.list.Gone(m.ID), Silent: p.silent(m.ID)}
-		if i, ok := heard[m.ID]; ok {
-			r.InFlight = summaries[i].Targets
-			r.Confirmed = summaries[i].Assignment
-			if m.Zone != p.members.Self.Zone {
-				r.Confirmed = released
-			}
+		sum, heard := summaries[m.ID]
+		r := pool.Member{
+			ID: m.ID, Zone: m.Zone, Gone: p.list.Gone(m.ID),
+			Silent: min(newest, p.heard.silent(m.ID, heard, p.clock)),
+		}
+		if heard {
+			r.InFlight, r.Confirmed = sum.Targets, sum.Assignment
+		}
+		if heard && m.Zone != p.members.Self.Zone {
+			r.Confirmed = released
 		}
 		out = append(out, r)
 	}
 	return out, nil
 }
 
-// silent returns the time since a member was last heard of, or since this process first knew
-// of it.
-func (p *Process) silent(id fleet.MemberID) clock.Millis {
-	p.heard.mu.Lock()
-	defer p.heard.mu.Unlock()
-	if p.heard.at == nil {
-		p.heard.at = map[fleet.MemberID]clock.Mark{}
-	}
-	for _, s := range p.syncer.Summaries() {
-		p.heard.at[s.Member] = p.clock.Mark()
-	}
-	at, ok := p.heard.at[id]
-	if !ok {
-		at = p.clock.Mark()
-		p.heard.at[id] = at
-	}
-	return p.clock.AtMost(at)
-}
-
 // heardMembers remembers when members were last heard of.
 type heardMembers struct {
 	mu sync.Mutex
 	at map[fleet.MemberID]clock.Mark
 }
+
+// silent returns the time since a member was last heard of, or since this process first knew
+// of it. heard is set if there is news of it now.
+func (h *heardMembers) silent(id fleet.MemberID, heard bool, c clock.Clock) clock.Millis {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.at == nil {
+		h.at = map[fleet.MemberID]clock.Mark{}
+	}
+	at, known := h.at[id]
+	if heard || !known {
+		at = c.Mark()
+		h.at[id] = at
+	}
+	return c.AtMost(at)
+}
