Let operators declare a zone lost

Cause: a lost zone strands a seventh of all limits for 70 min, and the call that frees them had no command. Ruled out: freeing them by the list alone, which lags; and without a check, since a member that lives starts requests within its portion until it reads the rows. Change: POST /v1/zones/{id}/lost and "citronknot zones lost", refused with a conflict while the process that is asked hears a member of the zone. Mutation: without the conflict TestZoneLost sees another status. Before/after: no way but code; go test ./operator ./terminal passes. Not run on real processes. Conclusion: the stranding of a lost zone is an operator's decision now.

--- a/entry/limits.go
+++ b/entry/limits.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"citronknot/fleet"
+	"citronknot/operator"
 	"citronknot/platform"
 )
 
@@ -126,3 +127,12 @@
 		p.log.Warn("entry: registration not deleted", "err", err)
 	}
 }
+
+// declareZoneLost frees what the members of a zone hold of the teams' limits, if none of them is
+// heard: a member that lives starts requests within its portion until it reads the rows.
+func (p *Process) declareZoneLost(ctx context.Context, zone fleet.ZoneID) error {
+	if n := p.syncer.LiveByZone()[zone]; n > 0 {
+		return &operator.ZoneLiveError{Zone: zone, Members: n}
+	}
+	return p.escrow.DeclareZoneLost(ctx, zone)
+}
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -47,10 +47,13 @@
 		Notes:      p.follower.Log.Notes,
 		Placement:  p.placement,
 		SetDrain:   p.controller.SetDrain,
-		Dump:       func() any { return p.Dump() },
-		Ready:      p.ready,
-		Metrics:    promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
-		Log:        p.log,
+
+		DeclareZoneLost: p.declareZoneLost,
+
+		Dump:    func() any { return p.Dump() },
+		Ready:   p.ready,
+		Metrics: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		Log:     p.log,
 	}
 	return &http.Server{
 		Handler: s.Handler(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
--- a/operator/client_commands.go
+++ b/operator/client_commands.go
@@ -70,3 +70,10 @@
 	var out WireDrain
 	return c.call(ctx, http.MethodPost, "/v1/instances/"+url.PathEscape(string(id))+"/"+verb, nil, &out)
 }
+
+// DeclareZoneLost frees the parts of teams' limits that the members of a zone hold. The
+// operator has to know that nothing runs in the zone any more.
+func (c *Client) DeclareZoneLost(ctx context.Context, zone fleet.ZoneID) error {
+	var out WireZoneLost
+	return c.call(ctx, http.MethodPost, "/v1/zones/"+url.PathEscape(string(zone))+"/lost", nil, &out)
+}
--- a/operator/commands.go
+++ b/operator/commands.go
@@ -146,3 +146,42 @@
 		return WireDrain{Instance: string(id), Drain: drain}, nil
 	}
 }
+
+// ZoneLiveError reports that a zone cannot be declared lost, because its members are heard.
+type ZoneLiveError struct {
+	Zone    fleet.ZoneID
+	Members int
+}
+
+func (e *ZoneLiveError) Error() string {
+	return fmt.Sprintf("operator: zone %q is not lost: %d of its members answer", e.Zone, e.Members)
+}
+
+func (s *Server) postZoneLost(r *http.Request) (any, error) {
+	zone := fleet.ZoneID(r.PathValue("id"))
+	if !hasZone(s.Config(), zone) {
+		return nil, notFound("zone", string(zone))
+	}
+	if s.DeclareZoneLost == nil {
+		return nil, &Problem{Status: http.StatusNotImplemented, Title: "not implemented", Detail: "this process does not declare zones lost"}
+	}
+	err := s.DeclareZoneLost(r.Context(), zone)
+	var live *ZoneLiveError
+	if errors.As(err, &live) {
+		return nil, &Problem{Status: http.StatusConflict, Title: "zone not lost", Detail: live.Error()}
+	}
+	if err != nil {
+		return nil, problemOfDrain(err)
+	}
+	s.Log.Info("operator: zone declared lost", "zone", zone)
+	return WireZoneLost{Zone: string(zone)}, nil
+}
+
+func hasZone(c *fleet.Config, zone fleet.ZoneID) bool {
+	for _, in := range c.Instances {
+		if in.Zone == zone {
+			return true
+		}
+	}
+	return false
+}
--- a/operator/server.go
+++ b/operator/server.go
@@ -32,6 +32,9 @@
 	Placement func(fleet.Instance) fleet.Placement
 	// SetDrain takes an instance out of service or back into it; nil answers 501.
 	SetDrain func(ctx context.Context, id fleet.InstanceID, drain bool) error
+	// DeclareZoneLost frees the parts of teams' limits that the members of a zone hold. It fails
+	// with *ZoneLiveError while members of the zone are heard. Nil answers 501.
+	DeclareZoneLost func(ctx context.Context, zone fleet.ZoneID) error
 	// Dump returns the state of the process, with secrets masked.
 	Dump func() any
 	// Ready reports whether the balancer should send requests here.
@@ -51,6 +54,7 @@
 	for pattern, h := range map[string]handler{
 		"POST /v1/notes":                 s.postNote,
 		"POST /v1/instances/{id}/drain":  s.postDrain(true),
+		"POST /v1/zones/{id}/lost":       s.postZoneLost,
 		"POST /v1/instances/{id}/return": s.postDrain(false),
 		"GET /v1/notes":                  s.getNotes,
 		"GET /v1/notes/{version}":        s.getNote,
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -276,6 +276,31 @@
 	must.StrContains(t, problem(t, m.SetDrain(ctx, "i1", true)).Detail, "send it again")
 }
 
+// Guards against limits of a zone that is alive being given away, and against an unknown zone
+// being taken for a lost one.
+func TestZoneLost(t *testing.T) {
+	var lost []fleet.ZoneID
+	var failure error
+	m := newRig(t).member(t, func(s *operator.Server) {
+		s.DeclareZoneLost = func(_ context.Context, zone fleet.ZoneID) error {
+			lost = append(lost, zone)
+			return failure
+		}
+	})
+	ctx := context.Background()
+	_, err := m.Apply(ctx, []byte(fullNote))
+	must.NoError(t, err)
+	must.NoError(t, m.DeclareZoneLost(ctx, "z"))
+	must.Eq(t, http.StatusNotFound, problem(t, m.DeclareZoneLost(ctx, "none")).Status)
+	must.Eq(t, []fleet.ZoneID{"z"}, lost)
+	failure = &operator.ZoneLiveError{Zone: "z", Members: 2}
+	p := problem(t, m.DeclareZoneLost(ctx, "z"))
+	must.Eq(t, http.StatusConflict, p.Status)
+	must.StrContains(t, p.Detail, "2 of its members")
+	failure = &platform.UnavailableError{}
+	must.Eq(t, http.StatusServiceUnavailable, problem(t, m.DeclareZoneLost(ctx, "z")).Status)
+}
+
 const fullNote = `{"schema": 1, "id": "full", "base": 0, "added": {
   "pools": [{"id": "p", "max_absent": 1}, {"id": "spare", "spare": true, "max_absent": 0}],
   "queues": [{"id": "q", "pool": "p", "default_deadline_ms": 1000, "max_deadline_ms": 2000, "max_waiting": 5}],
--- a/operator/wire.go
+++ b/operator/wire.go
@@ -110,6 +110,11 @@
 	Instances []WireInstance `json:"instances"`
 }
 
+// WireZoneLost answers POST /v1/zones/{id}/lost.
+type WireZoneLost struct {
+	Zone string `json:"zone"`
+}
+
 // WireDrain answers POST /v1/instances/{id}/drain and /return.
 type WireDrain struct {
 	Instance string `json:"instance"`
--- a/terminal/app.go
+++ b/terminal/app.go
@@ -98,6 +98,8 @@
 	add(keys, "grant", "Make a key for a team and print it once", "citronknot keys grant alpha", &keysGrantCommand{app: a})
 	add(keys, "withdraw", "Withdraw a key, by hash prefix or by the key on standard input",
 		"citronknot keys withdraw 20ac218dec4c", &keysWithdrawCommand{app: a})
+	zones := add(root, "zones", "Declare zones lost", "citronknot zones lost zone-a", &struct{}{})
+	add(zones, "lost", "Free the limits held in a zone in which nothing runs any more", "citronknot zones lost zone-a", &zoneLostCommand{app: a})
 	instances := add(root, "instances", "List, drain and return instances", "citronknot instances list", &struct{}{})
 	add(instances, "list", "List instances with pool and phase", "citronknot instances list", &instancesListCommand{app: a})
 	add(instances, "drain", "Take an instance out of service", "citronknot instances drain t1", &drainCommand{app: a, drain: true})
--- a/terminal/queries.go
+++ b/terminal/queries.go
@@ -137,6 +137,26 @@
 	return c.app.print(operator.WireDrain{Instance: string(c.Args.Instance), Drain: c.drain}, fmt.Sprintf("instance %s %s", c.Args.Instance, verb))
 }
 
+type zoneLostCommand struct {
+	app  *app
+	Args struct {
+		Zone fleet.ZoneID `positional-arg-name:"ZONE" required:"true"`
+	} `positional-args:"true"`
+}
+
+// Execute declares a zone lost.
+func (c *zoneLostCommand) Execute([]string) error {
+	client, ctx, cancel, err := c.app.client()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	if err := client.DeclareZoneLost(ctx, c.Args.Zone); err != nil {
+		return err
+	}
+	return c.app.print(operator.WireZoneLost{Zone: string(c.Args.Zone)}, fmt.Sprintf("zone %s is declared lost; the limits held there are free", c.Args.Zone))
+}
+
 func (a *app) get(path string) (json.RawMessage, error) {
 	client, ctx, cancel, err := a.client()
 	if err != nil {
