--- a/chaos/chaos_test.go
+++ b/chaos/chaos_test.go
@@ -20,7 +20,7 @@
 	"citronknot/fleet"
 	"citronknot/note"
 	"citronknot/operator"
-	"citronknot/platform"
+	"citronknot/rowstore"
 	"citronknot/standin"
 )
 
@@ -178,7 +178,7 @@
 			w.apply(fleet.ReleaseNote{ID: "withdraw", Base: 1, Withdrawn: fleet.Refs{Keys: []fleet.KeyHash{fleet.HashKey(keys["gamma"])}}})
 			w.withdrawn = time.Now()
 			if !cut {
-				must.NoError(t, w.post(platformURL+"/instances", platform.WireInstance{ID: fmt.Sprintf("t%d", targetCount), Zone: zoneOf(targetCount - 1), State: "leaving"}))
+				must.NoError(t, w.post(platformURL+"/instances", rowstore.WireInstance{ID: fmt.Sprintf("t%d", targetCount), Zone: zoneOf(targetCount - 1), State: "leaving"}))
 				w.left = time.Now()
 			}
 			pause((boundSeconds + 2) * time.Second)
--- a/chaos/fleet_test.go
+++ b/chaos/fleet_test.go
@@ -22,7 +22,7 @@
 	"citronknot/fleet"
 	"citronknot/note"
 	"citronknot/operator"
-	"citronknot/platform"
+	"citronknot/rowstore"
 	"citronknot/standin"
 )
 
@@ -76,7 +76,7 @@
 	t.Cleanup(w.close)
 	w.eventually(10*time.Second, "members ready", func() bool { return w.readyCount() == memberCount })
 	for i := range targetCount {
-		must.NoError(t, w.post(platformURL+"/instances", platform.WireInstance{ID: fmt.Sprintf("t%d", i+1), Zone: zoneOf(i), State: "live"}))
+		must.NoError(t, w.post(platformURL+"/instances", rowstore.WireInstance{ID: fmt.Sprintf("t%d", i+1), Zone: zoneOf(i), State: "live"}))
 	}
 	w.apply(w.firstNote())
 	w.eventually(10*time.Second, "note in force", func() bool { return w.inForce(1) })
--- a/cmd/capacity/change.go
+++ b/cmd/capacity/change.go
@@ -11,7 +11,7 @@
 	"citronknot/fleet"
 	"citronknot/note"
 	"citronknot/peer"
-	"citronknot/platform"
+	"citronknot/rowstore"
 	"citronknot/standin"
 )
 
@@ -116,7 +116,7 @@
 // fromNotes measures the start of a process from the release notes in the table service.
 func (c *change) fromNotes(s size) error {
 	p := &standin.Platform{}
-	log := &platform.ConfigLog{Table: p.Table()}
+	log := &rowstore.ConfigLog{Table: p.Table()}
 	ctx := context.Background()
 	for i := range c.Notes {
 		n := s.ordinary(i, fleet.Version(i))
@@ -131,7 +131,7 @@
 	if err != nil {
 		return err
 	}
-	for i := 1; i < c.Notes-c.Notes%int(platform.SnapshotEvery); i++ {
+	for i := 1; i < c.Notes-c.Notes%int(rowstore.SnapshotEvery); i++ {
 		if snapshot, err = snapshot.Merge(s.ordinary(i, fleet.Version(i))); err != nil {
 			return err
 		}
--- a/cmd/capacity/claims.go
+++ b/cmd/capacity/claims.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 	"citronknot/standin"
 )
 
@@ -36,7 +36,7 @@
 
 func (c *claims) run(rate int) {
 	p := &standin.Platform{}
-	self := &platform.Claims{Table: delayed(p.Table(), c.Delay), Self: memberID(0)}
+	self := &rowstore.Claims{Table: delayed(p.Table(), c.Delay), Self: memberID(0)}
 	ctx, cancel := context.WithCancel(context.Background())
 	var run, requests sync.WaitGroup
 	run.Go(func() { self.Run(ctx) })
@@ -55,14 +55,14 @@
 		}
 		time.Sleep(time.Until(start.Add(time.Duration(next * float64(time.Second)))))
 		requests.Go(func() {
-			claim, err := self.Claim(ctx, platform.ClaimRequest{
+			claim, err := self.Claim(ctx, rowstore.ClaimRequest{
 				Team: teamID(i % 150), Queue: "queue-01", IdempotencyKey: fmt.Sprint("key-", i), Request: fleet.RequestID(fmt.Sprint("request-", i)),
 			})
 			if err != nil {
 				return
 			}
 			time.Sleep(20 * time.Millisecond)
-			claim.Settle(platform.OutcomeRan, &platform.RecordedAnswer{Status: 200, Body: []byte(`{"done":true}`)})
+			claim.Settle(rowstore.OutcomeRan, &rowstore.RecordedAnswer{Status: 200, Body: []byte(`{"done":true}`)})
 			claimed <- struct{}{}
 		})
 	}
--- a/cmd/capacity/escrow.go
+++ b/cmd/capacity/escrow.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 	"citronknot/standin"
 )
 
@@ -60,7 +60,7 @@
 	settings *escrow
 	size     size
 	config   *fleet.Config
-	table    *platform.Table
+	table    *rowstore.Table
 	members  int
 	phase    []float64 // of each team's demand
 	starts   atomic.Int64
@@ -104,14 +104,14 @@
 const rowBytes = 45
 
 // counted counts the bytes of limit rows as JSON, without HTTP headers.
-func counted(t *platform.Table, bytes *atomic.Int64) *platform.Table {
-	count := func(r platform.Ref, value []byte) {
+func counted(t *rowstore.Table, bytes *atomic.Int64) *rowstore.Table {
+	count := func(r rowstore.Ref, value []byte) {
 		if r.Table == "limits" {
 			bytes.Add(int64(rowBytes + len(r.Table) + len(r.Key) + len(value)))
 		}
 	}
-	return &platform.Table{
-		Transact: func(ctx context.Context, x platform.Transaction) ([]fleet.Version, error) {
+	return &rowstore.Table{
+		Transact: func(ctx context.Context, x rowstore.Transaction) ([]fleet.Version, error) {
 			for _, c := range x.Checks {
 				count(c.Ref, nil)
 			}
@@ -120,7 +120,7 @@
 			}
 			return t.Transact(ctx, x)
 		},
-		Read: func(ctx context.Context, q platform.Query) ([]platform.Row, error) {
+		Read: func(ctx context.Context, q rowstore.Query) ([]rowstore.Row, error) {
 			rows, err := t.Read(ctx, q)
 			for _, r := range rows {
 				count(r.Ref, r.Value)
@@ -131,13 +131,13 @@
 }
 
 // delayed adds a delay to each call of a table.
-func delayed(t *platform.Table, d time.Duration) *platform.Table {
-	return &platform.Table{
-		Transact: func(ctx context.Context, x platform.Transaction) ([]fleet.Version, error) {
+func delayed(t *rowstore.Table, d time.Duration) *rowstore.Table {
+	return &rowstore.Table{
+		Transact: func(ctx context.Context, x rowstore.Transaction) ([]fleet.Version, error) {
 			time.Sleep(d)
 			return t.Transact(ctx, x)
 		},
-		Read: func(ctx context.Context, q platform.Query) ([]platform.Row, error) {
+		Read: func(ctx context.Context, q rowstore.Query) ([]rowstore.Row, error) {
 			time.Sleep(d)
 			return t.Read(ctx, q)
 		},
@@ -146,12 +146,12 @@
 
 // member registers, renews, rebalances as package entry does, and makes demand.
 func (f *field) member(ctx context.Context, i int, r *rand.Rand) {
-	m := &platform.Members{Table: f.table, Self: platform.Member{ID: memberID(i), Zone: zoneID(i)}}
+	m := &rowstore.Members{Table: f.table, Self: rowstore.Member{ID: memberID(i), Zone: zoneID(i)}}
 	time.Sleep(time.Duration(r.Int64N(int64(time.Second))))
 	for ctx.Err() == nil && m.Register(ctx) != nil {
 		time.Sleep(time.Duration(r.Int64N(int64(500 * time.Millisecond)))) // registrations conflict
 	}
-	e := &platform.Escrow{Table: f.table, Members: m, Zone: zoneID(i), Config: func() *fleet.Config { return f.config }}
+	e := &rowstore.Escrow{Table: f.table, Members: m, Zone: zoneID(i), Config: func() *fleet.Config { return f.config }}
 	denied := make(chan struct{}, 1)
 	var wg sync.WaitGroup
 	wg.Go(func() { m.Run(ctx) })
@@ -161,9 +161,9 @@
 }
 
 // rebalance follows the gaps of package entry: 250 ms after a denial at first, up to 2 s.
-func rebalance(ctx context.Context, e *platform.Escrow, denied chan struct{}) {
+func rebalance(ctx context.Context, e *rowstore.Escrow, denied chan struct{}) {
 	const firstGap, lastGap = 250 * time.Millisecond, 2 * time.Second
-	regular := time.NewTicker(platform.EscrowEvery.Duration())
+	regular := time.NewTicker(rowstore.EscrowEvery.Duration())
 	defer regular.Stop()
 	gap := firstGap
 	for {
@@ -185,7 +185,7 @@
 }
 
 // demand starts and ends requests until ctx ends. A denied request is given up.
-func (f *field) demand(ctx context.Context, e *platform.Escrow, denied chan struct{}, r *rand.Rand) {
+func (f *field) demand(ctx context.Context, e *rowstore.Escrow, denied chan struct{}, r *rand.Rand) {
 	running := make([]int, f.size.Teams)
 	mean := f.settings.Load * slotsEach * float64(f.size.Workers) / float64(f.size.Teams) / float64(f.members)
 	step := demandEvery.Seconds()
--- a/cmd/capacity/fill.go
+++ b/cmd/capacity/fill.go
@@ -12,7 +12,7 @@
 
 	"citronknot/note"
 	"citronknot/operator"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 // fill puts the instances of a size and the members into the platform's list, or applies the
@@ -44,7 +44,7 @@
 }
 
 func (f *fill) list(id string, i int) error {
-	text, err := json.Marshal(platform.WireInstance{ID: id, Zone: string(zoneID(i)), State: string(platform.StateLive)})
+	text, err := json.Marshal(rowstore.WireInstance{ID: id, Zone: string(zoneID(i)), State: string(rowstore.StateLive)})
 	if err != nil {
 		return eris.Wrap(err, "capacity: encode")
 	}
--- a/entry/connect.go
+++ b/entry/connect.go
@@ -5,33 +5,33 @@
 
 	"citronknot/caller"
 	"citronknot/fleet"
+	"citronknot/fleet/target"
 	"citronknot/peer"
-	"citronknot/platform"
-	"citronknot/target"
+	"citronknot/rowstore"
 )
 
 func (p *Process) connectPlatform() {
 	s, table := p.settings, p.client.Table()
-	p.members = &platform.Members{
+	p.members = &rowstore.Members{
 		Table: table, Clock: p.clock, Gone: p.list.Gone,
-		Self: platform.Member{
+		Self: rowstore.Member{
 			ID: fleet.MemberID(s.Member), Zone: fleet.ZoneID(s.Zone),
 			CallerAddr: s.CallerAddr, OperatorAddr: s.OperatorAddr, PeerAddr: s.PeerAddress,
 		},
 	}
-	p.escrow = &platform.Escrow{
+	p.escrow = &rowstore.Escrow{
 		Table: table, Clock: p.clock, Members: p.members, Zone: fleet.ZoneID(s.Zone), Config: p.current.Load,
 		Waiting: p.waitingOf,
 	}
-	p.claims = &platform.Claims{Table: table, Clock: p.clock, Self: p.members.Self.ID}
-	p.fleetLease = &platform.Lease{Table: table, Clock: p.clock, Name: "fleet", Self: p.members.Self.ID}
+	p.claims = &rowstore.Claims{Table: table, Clock: p.clock, Self: p.members.Self.ID}
+	p.fleetLease = &rowstore.Lease{Table: table, Clock: p.clock, Name: "fleet", Self: p.members.Self.ID}
 }
 
 func (p *Process) connectPeers() {
 	p.follower = &peer.Follower{
-		Clock: p.clock, Log: &platform.ConfigLog{Table: p.client.Table()}, Current: &p.current, Logger: p.log,
+		Clock: p.clock, Log: &rowstore.ConfigLog{Table: p.client.Table()}, Current: &p.current, Logger: p.log,
 		Changed:  func() { p.syncer.Changed() },
-		Snapshot: (&platform.Snapshots{Table: p.client.Table(), Objects: p.client.Objects()}).Load,
+		Snapshot: (&rowstore.Snapshots{Table: p.client.Table(), Objects: p.client.Objects()}).Load,
 	}
 	scheme := "http"
 	if p.settings.PeerCert != "" {
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -1,9 +1,9 @@
 package entry
 
 import (
+	"citronknot/fleet/target"
 	"citronknot/peer"
 	"citronknot/pool"
-	"citronknot/target"
 )
 
 // Dump is the state of a process. It holds no key and no credential.
--- a/entry/housekeeping.go
+++ b/entry/housekeeping.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 // housekeepingEvery is the time between two rounds of the fleet's housekeeping.
@@ -17,7 +17,7 @@
 // configuration and removal of members that are gone.
 func (p *Process) housekeep(ctx context.Context) {
 	table := p.client.Table()
-	snapshots := &platform.Snapshots{Table: table, Objects: p.client.Objects()}
+	snapshots := &rowstore.Snapshots{Table: table, Objects: p.client.Objects()}
 	ticker := time.NewTicker(housekeepingEvery)
 	defer ticker.Stop()
 	for {
@@ -43,7 +43,7 @@
 }
 
 // removeMembers takes members off the list that the platform's list shows as gone.
-func (p *Process) removeMembers(ctx context.Context, fence platform.Check) {
+func (p *Process) removeMembers(ctx context.Context, fence rowstore.Check) {
 	for _, m := range p.members.List() {
 		if !p.list.Gone(m.ID) {
 			continue
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -6,7 +6,7 @@
 
 	"citronknot/fleet"
 	"citronknot/operator"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 // Gaps between two rounds of rebalancing. A team that was denied a start asks early, so that
@@ -52,7 +52,7 @@
 
 // rebalance keeps the portions near the demand until ctx ends.
 func (p *Process) rebalance(ctx context.Context) {
-	regular := time.NewTicker(platform.EscrowEvery.Duration())
+	regular := time.NewTicker(rowstore.EscrowEvery.Duration())
 	defer regular.Stop()
 	gap := firstGap
 	for {
--- a/entry/process.go
+++ b/entry/process.go
@@ -15,10 +15,10 @@
 	"citronknot/caller"
 	"citronknot/clock"
 	"citronknot/fleet"
+	"citronknot/fleet/target"
 	"citronknot/peer"
-	"citronknot/platform"
 	"citronknot/pool"
-	"citronknot/target"
+	"citronknot/rowstore"
 )
 
 // Process is one running citronknotd.
@@ -29,22 +29,22 @@
 	metrics    *caller.Metrics
 	current    fleet.Current
 	assigned   fleet.Assignments
-	list       platform.Presence
+	list       rowstore.Presence
 	place      place
 	gone       goneMembers
 	serving    snapshots
-	client     *platform.Client
-	members    *platform.Members
-	escrow     *platform.Escrow
+	client     *rowstore.Client
+	members    *rowstore.Members
+	escrow     *rowstore.Escrow
 	denied     chan struct{} // a team was denied a start
 	waiting    atomic.Pointer[map[fleet.TeamID]int]
 	lending    chan struct{} // idle slots are wanted elsewhere
-	claims     *platform.Claims
-	fleetLease *platform.Lease
+	claims     *rowstore.Claims
+	fleetLease *rowstore.Lease
 
-	assignments *platform.Assignments
+	assignments *rowstore.Assignments
 	zones       zones
-	zoneLease   *platform.Lease
+	zoneLease   *rowstore.Lease
 	controller  *pool.Controller
 	heard       heardMembers
 	demand      demand
@@ -74,7 +74,7 @@
 		s.PeerAddress = s.PeerAddr
 	}
 	p := &Process{settings: s, log: log, metrics: caller.NewMetrics(), denied: make(chan struct{}, 1), lending: make(chan struct{}, 1)}
-	p.client = &platform.Client{URL: s.Platform, Zone: fleet.ZoneID(s.Zone)}
+	p.client = &rowstore.Client{URL: s.Platform, Zone: fleet.ZoneID(s.Zone)}
 	p.connectPlatform()
 	p.connectPeers()
 	p.connectTargets()
@@ -117,7 +117,7 @@
 	p.goRun(func() { p.followZones(ctx) })
 	p.goRun(func() { p.zoneLease.Run(ctx) })
 	p.goRun(func() { p.controller.Run(ctx) })
-	expiry := &platform.ClaimExpiry{Table: p.client.Table(), Clock: p.clock, Lease: p.fleetLease, Teams: p.claimTeams}
+	expiry := &rowstore.ClaimExpiry{Table: p.client.Table(), Clock: p.clock, Lease: p.fleetLease, Teams: p.claimTeams}
 	p.goRun(func() { expiry.Run(ctx) })
 	p.goRun(func() { p.syncer.Run(ctx) })
 	p.goRun(func() { p.tick(ctx) })
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -8,8 +8,8 @@
 	"citronknot/caller"
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/platform"
-	"citronknot/target"
+	"citronknot/fleet/target"
+	"citronknot/rowstore"
 )
 
 // fresh reports whether the configuration is recent enough to accept the keys of a team. It is
@@ -46,22 +46,22 @@
 	return p
 }
 
-var outcomes = map[caller.Outcome]platform.Outcome{
-	caller.Ran: platform.OutcomeRan, caller.NotRun: platform.OutcomeNotRun, caller.Unknown: platform.OutcomeUnknown,
+var outcomes = map[caller.Outcome]rowstore.Outcome{
+	caller.Ran: rowstore.OutcomeRan, caller.NotRun: rowstore.OutcomeNotRun, caller.Unknown: rowstore.OutcomeUnknown,
 }
 
 // claim records that a request that is not idempotent is about to run.
 func (p *Process) claim(ctx context.Context, q *caller.Request) (func(caller.Outcome, *caller.Answer), error) {
-	c, err := p.claims.Claim(ctx, platform.ClaimRequest{
+	c, err := p.claims.Claim(ctx, rowstore.ClaimRequest{
 		Team: q.Team, Queue: q.Queue.ID, IdempotencyKey: q.IdempotencyKey, Request: q.ID,
 	})
 	if err != nil {
 		return nil, claimProblem(err)
 	}
 	return func(o caller.Outcome, a *caller.Answer) {
-		var recorded *platform.RecordedAnswer
+		var recorded *rowstore.RecordedAnswer
 		if a != nil {
-			recorded = &platform.RecordedAnswer{Status: a.Status, Header: a.Header, Body: a.Body}
+			recorded = &rowstore.RecordedAnswer{Status: a.Status, Header: a.Header, Body: a.Body}
 		}
 		c.Settle(outcomes[o], recorded)
 	}, nil
@@ -69,12 +69,12 @@
 
 // claimProblem answers a repeat of a request, or one that could not be claimed.
 func claimProblem(err error) error {
-	var ce *platform.ClaimError
+	var ce *rowstore.ClaimError
 	if !errors.As(err, &ce) {
 		return err
 	}
 	switch ce.State {
-	case platform.ClaimRanAlready:
+	case rowstore.ClaimRanAlready:
 		if ce.Answer != nil {
 			return &caller.RecordedError{Answer: caller.Answer{Status: ce.Answer.Status, Header: ce.Answer.Header, Body: ce.Answer.Body}}
 		}
@@ -82,7 +82,7 @@
 			Status: http.StatusConflict, Title: "ran already", Run: caller.Ran, Reason: "repeat",
 			Detail: "the request ran under this idempotency key; its answer was not recorded",
 		}
-	case platform.ClaimStoreUnavailable:
+	case rowstore.ClaimStoreUnavailable:
 		return &caller.Problem{
 			Status: http.StatusServiceUnavailable, Title: "the request could not be claimed", Run: caller.NotRun, Reason: "claim",
 			Detail: "the platform's table service is out of reach",
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -16,7 +16,7 @@
 	"citronknot/fleet"
 	"citronknot/operator"
 	"citronknot/peer"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 func (p *Process) callerServer() *http.Server {
@@ -77,7 +77,7 @@
 		}
 	}
 	if !p.members.MayAccept() {
-		return 0, &platform.UnavailableError{Op: "accept", Err: eris.New("this member is not known to all members yet; try another one")}
+		return 0, &rowstore.UnavailableError{Op: "accept", Err: eris.New("this member is not known to all members yet; try another one")}
 	}
 	return p.follower.Accept(ctx, n)
 }
--- a/entry/serving.go
+++ b/entry/serving.go
@@ -5,8 +5,8 @@
 	"sync/atomic"
 
 	"citronknot/fleet"
-	"citronknot/platform"
-	"citronknot/target"
+	"citronknot/fleet/target"
+	"citronknot/rowstore"
 )
 
 // snapshots computes the instances of each pool that may get new requests, when the
@@ -15,7 +15,7 @@
 type snapshots struct {
 	current     *fleet.Current
 	assignments *fleet.Assignments
-	list        *platform.Presence
+	list        *rowstore.Presence
 	place       *place
 	// stale reports whether a zone's assignment is too old to route by; see routeLapse.
 	stale func(fleet.ZoneID) bool
--- a/entry/zone.go
+++ b/entry/zone.go
@@ -9,8 +9,8 @@
 	"citronknot/clock"
 	"citronknot/fleet"
 	"citronknot/peer"
-	"citronknot/platform"
 	"citronknot/pool"
+	"citronknot/rowstore"
 )
 
 const (
@@ -33,7 +33,7 @@
 	clock clock.Clock
 
 	mu        sync.Mutex
-	rows      map[fleet.ZoneID]*platform.ZoneRows
+	rows      map[fleet.ZoneID]*rowstore.ZoneRows
 	confirmed map[fleet.ZoneID]clock.Mark
 	lapsed    map[fleet.ZoneID]bool
 	published []publishedVersion // of the own zone, oldest first
@@ -76,7 +76,7 @@
 }
 
 // read returns what is known of a zone.
-func (z *zones) read(zone fleet.ZoneID) (rows *platform.ZoneRows, known bool) {
+func (z *zones) read(zone fleet.ZoneID) (rows *rowstore.ZoneRows, known bool) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	_, known = z.confirmed[zone]
@@ -84,11 +84,11 @@
 }
 
 // store takes in the rows of a zone that were read by a request sent at sent.
-func (z *zones) store(rows *platform.ZoneRows, sent clock.Mark) {
+func (z *zones) store(rows *rowstore.ZoneRows, sent clock.Mark) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	if z.rows == nil {
-		z.rows, z.confirmed = map[fleet.ZoneID]*platform.ZoneRows{}, map[fleet.ZoneID]clock.Mark{}
+		z.rows, z.confirmed = map[fleet.ZoneID]*rowstore.ZoneRows{}, map[fleet.ZoneID]clock.Mark{}
 	}
 	z.rows[rows.Zone], z.confirmed[rows.Zone] = rows, sent
 	if rows.Zone != z.own {
@@ -184,13 +184,13 @@
 func (p *Process) connectController() {
 	zone := p.members.Self.Zone
 	p.zones.own, p.zones.clock = zone, p.clock
-	p.assignments = &platform.Assignments{Table: p.client.Table()}
-	p.zoneLease = &platform.Lease{
+	p.assignments = &rowstore.Assignments{Table: p.client.Table()}
+	p.zoneLease = &rowstore.Lease{
 		Table: p.client.Table(), Clock: p.clock, Name: "zone/" + string(zone), Self: p.members.Self.ID, Log: p.log,
 	}
 	p.controller = &pool.Controller{
 		Zone: zone, Clock: p.clock, Assignments: p.assignments, Config: p.current.Load,
-		Lease: func() (platform.Check, clock.Millis, bool) {
+		Lease: func() (rowstore.Check, clock.Millis, bool) {
 			fence, ok := p.zoneLease.Held()
 			return fence, p.zoneLease.Left(), ok
 		},
--- a/experiment/decision.go
+++ b/experiment/decision.go
@@ -12,7 +12,7 @@
 
 	"citronknot/caller"
 	"citronknot/fleet"
-	"citronknot/target"
+	"citronknot/fleet/target"
 )
 
 // Decision measures admission and target selection without HTTP, next to a first-come queue with
--- a/experiment/forwarder.go
+++ b/experiment/forwarder.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"sync/atomic"
 
-	"citronknot/target"
+	"citronknot/fleet/target"
 )
 
 // forwarder is the baseline of the loopback measurement. It takes the targets in turn and
--- a/experiment/process.go
+++ b/experiment/process.go
@@ -14,10 +14,10 @@
 
 	"citronknot/entry"
 	"citronknot/fleet"
+	"citronknot/fleet/target"
 	"citronknot/note"
 	"citronknot/operator"
 	"citronknot/standin"
-	"citronknot/target"
 )
 
 const (
--- a/experiment/routing.go
+++ b/experiment/routing.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"citronknot/clock"
-	"citronknot/target"
+	"citronknot/fleet/target"
 )
 
 // worker is a target as it really is.
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -6,7 +6,7 @@
 	"citronknot/caller"
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/target"
+	"citronknot/fleet/target"
 )
 
 const (
--- a/target/bench_test.go
+++ b/fleet/target/bench_test.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"citronknot/fleet"
-	"citronknot/target"
+	"citronknot/fleet/target"
 )
 
 // BenchmarkAcquire selects a target among 910 workers in 82 pools, from all cores at once.
--- a/target/comparison_test.go
+++ b/fleet/target/comparison_test.go
@@ -14,7 +14,7 @@
 	"github.com/shoenig/test"
 
 	"citronknot/clock"
-	"citronknot/target"
+	"citronknot/fleet/target"
 )
 
 const (
--- a/target/forward_test.go
+++ b/fleet/target/forward_test.go
@@ -17,7 +17,7 @@
 	"github.com/shoenig/test/must"
 
 	"citronknot/fleet"
-	"citronknot/target"
+	"citronknot/fleet/target"
 )
 
 // A connection that the target closes at any point must neither repeat a request nor call one
--- a/target/harness_test.go
+++ b/fleet/target/harness_test.go
@@ -19,7 +19,7 @@
 
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/target"
+	"citronknot/fleet/target"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/target/health_test.go
+++ b/fleet/target/health_test.go
@@ -12,7 +12,7 @@
 
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/target"
+	"citronknot/fleet/target"
 )
 
 // fail answers everything at once with status 500.
--- a/target/loopback_test.go
+++ b/fleet/target/loopback_test.go
@@ -19,8 +19,8 @@
 
 	"citronknot/clock"
 	"citronknot/fleet"
+	"citronknot/fleet/target"
 	"citronknot/standin"
-	"citronknot/target"
 )
 
 // loopback is an entry server in front of targets, all over TCP.
--- a/target/silence_test.go
+++ b/fleet/target/silence_test.go
@@ -12,7 +12,7 @@
 
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/target"
+	"citronknot/fleet/target"
 )
 
 // siblings opens connections and leaves them idle. On connections up to silentUpTo, the target
--- a/operator/commands.go
+++ b/operator/commands.go
@@ -12,7 +12,7 @@
 
 	"citronknot/fleet"
 	"citronknot/note"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 // postNote accepts a release note, or checks it with dry_run.
@@ -93,7 +93,7 @@
 // refresh keeps faults of notes that the log holds apart from those of the operator's note.
 func (s *Server) refresh(ctx context.Context) error {
 	err := s.Refresh(ctx)
-	var down *platform.UnavailableError
+	var down *rowstore.UnavailableError
 	if err == nil || errors.As(err, &down) {
 		return err
 	}
--- a/operator/problem.go
+++ b/operator/problem.go
@@ -8,7 +8,7 @@
 
 	"citronknot/fleet"
 	"citronknot/note"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 // Problem is an answer of the administration API that is not a success.
@@ -40,9 +40,9 @@
 	var (
 		problem  *Problem
 		decode   *note.DecodeError
-		stale    *platform.StaleBaseError
-		conflict *platform.ConflictError
-		down     *platform.UnavailableError
+		stale    *rowstore.StaleBaseError
+		conflict *rowstore.ConflictError
+		down     *rowstore.UnavailableError
 	)
 	switch {
 	case errors.As(err, &problem):
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -18,7 +18,7 @@
 	"citronknot/note"
 	"citronknot/operator"
 	"citronknot/peer"
-	"citronknot/platform"
+	"citronknot/rowstore"
 	"citronknot/standin"
 )
 
@@ -60,7 +60,7 @@
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
 	current := &fleet.Current{}
-	l := &platform.ConfigLog{Table: (&platform.Client{URL: r.url}).Table()}
+	l := &rowstore.ConfigLog{Table: (&rowstore.Client{URL: r.url}).Table()}
 	f := &peer.Follower{Log: l, Current: current, Logger: log}
 	s := &operator.Server{
 		Credential: credential, Config: current.Load, Accept: l.Accept, Refresh: f.Refresh, Notes: l.Notes,
@@ -270,9 +270,9 @@
 	must.NoError(t, m.SetDrain(ctx, "i1", false))
 	must.Eq(t, http.StatusNotFound, problem(t, m.SetDrain(ctx, "none", true)).Status)
 	must.Eq(t, []string{"i1 true", "i1 false"}, calls)
-	failure = &platform.ConflictError{}
+	failure = &rowstore.ConflictError{}
 	must.Eq(t, http.StatusConflict, problem(t, m.SetDrain(ctx, "i1", true)).Status)
-	failure = &platform.UnavailableError{Maybe: true}
+	failure = &rowstore.UnavailableError{Maybe: true}
 	must.StrContains(t, problem(t, m.SetDrain(ctx, "i1", true)).Detail, "send it again")
 }
 
@@ -297,7 +297,7 @@
 	p := problem(t, m.DeclareZoneLost(ctx, "z"))
 	must.Eq(t, http.StatusConflict, p.Status)
 	must.StrContains(t, p.Detail, "2 of its members")
-	failure = &platform.UnavailableError{}
+	failure = &rowstore.UnavailableError{}
 	must.Eq(t, http.StatusServiceUnavailable, problem(t, m.DeclareZoneLost(ctx, "z")).Status)
 }
 
--- a/peer/follower.go
+++ b/peer/follower.go
@@ -11,14 +11,14 @@
 
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 // Follower brings the configuration of this process up to the log in the table service and
 // knows how recently it was confirmed.
 type Follower struct {
 	Clock   clock.Clock
-	Log     *platform.ConfigLog
+	Log     *rowstore.ConfigLog
 	Current *fleet.Current
 	Every   clock.Millis // between two reads of the head; 0 means 1000
 	Logger  *slog.Logger
@@ -39,13 +39,13 @@
 func (f *Follower) Refresh(ctx context.Context) error {
 	sent := f.Clock.Mark()
 	head, err := f.Log.Head(ctx)
-	if err == nil && f.held()+platform.MaxRows < head.Version {
+	if err == nil && f.held()+rowstore.MaxRows < head.Version {
 		f.skip(ctx)
 	}
 	for err == nil && f.held() < head.Version {
 		from := f.held()
 		var list []fleet.ReleaseNote
-		list, err = f.Log.Notes(ctx, from, min(head.Version, from+platform.MaxRows))
+		list, err = f.Log.Notes(ctx, from, min(head.Version, from+rowstore.MaxRows))
 		if err == nil {
 			_, err = f.Apply(list)
 		}
@@ -124,7 +124,7 @@
 func (f *Follower) Accept(ctx context.Context, n fleet.ReleaseNote) (fleet.Version, error) {
 	f.update(func(s *Freshness) { s.BeginAccept() })
 	v, err := f.Log.Accept(ctx, n)
-	var lost *platform.UnavailableError
+	var lost *rowstore.UnavailableError
 	var maybe fleet.Version
 	if errors.As(err, &lost) && lost.Maybe {
 		maybe = n.Base + 1
--- a/peer/follower_test.go
+++ b/peer/follower_test.go
@@ -11,7 +11,7 @@
 
 	"citronknot/fleet"
 	"citronknot/peer"
-	"citronknot/platform"
+	"citronknot/rowstore"
 	"citronknot/standin"
 )
 
@@ -21,7 +21,7 @@
 	const versions = 350
 	ctx := context.Background()
 	p := &standin.Platform{}
-	log := &platform.ConfigLog{Table: p.Table()}
+	log := &rowstore.ConfigLog{Table: p.Table()}
 	c := &fleet.Config{}
 	var snapshot *fleet.Config
 	for v := range fleet.Version(versions) {
@@ -67,16 +67,16 @@
 // Guards against a snapshot that replaces a newer configuration.
 func TestOlderSnapshotIsLeftOut(t *testing.T) {
 	ctx := context.Background()
-	log := &platform.ConfigLog{Table: (&standin.Platform{}).Table()}
+	log := &rowstore.ConfigLog{Table: (&standin.Platform{}).Table()}
 	f := &peer.Follower{
 		Log: log, Current: &fleet.Current{}, Logger: slog.New(slog.DiscardHandler),
 		Snapshot: func(context.Context) (*fleet.Config, error) { return &fleet.Config{Version: 3}, nil },
 	}
 	f.Current.Advance(&fleet.Config{Version: 5})
-	for v := range fleet.Version(5 + platform.MaxRows + 1) {
+	for v := range fleet.Version(5 + rowstore.MaxRows + 1) {
 		_, err := log.Accept(ctx, fleet.ReleaseNote{ID: fleet.NoteID(fmt.Sprint("n", v)), Base: v})
 		must.NoError(t, err)
 	}
 	must.NoError(t, f.Refresh(ctx))
-	must.Eq(t, 5+platform.MaxRows+1, f.Current.Load().Version)
+	must.Eq(t, 5+rowstore.MaxRows+1, f.Current.Load().Version)
 }
--- a/peer/measure_test.go
+++ b/peer/measure_test.go
@@ -21,7 +21,7 @@
 	"citronknot/clock"
 	"citronknot/fleet"
 	"citronknot/peer"
-	"citronknot/platform"
+	"citronknot/rowstore"
 	"citronknot/standin"
 )
 
@@ -103,8 +103,8 @@
 		}
 		client := &peer.Client{Credential: "secret", HTTP: &http.Client{Transport: transport}}
 		logger := slog.New(slog.DiscardHandler)
-		table := (&platform.Client{URL: store.URL, HTTP: &http.Client{Transport: &http.Transport{}}}).Table()
-		d.follower = &peer.Follower{Log: &platform.ConfigLog{Table: table}, Current: &d.current, Logger: logger}
+		table := (&rowstore.Client{URL: store.URL, HTTP: &http.Client{Transport: &http.Transport{}}}).Table()
+		d.follower = &peer.Follower{Log: &rowstore.ConfigLog{Table: table}, Current: &d.current, Logger: logger}
 		load := rand.New(rand.NewPCG(seed.Uint64(), 0))
 		zone := fleet.ZoneID(fmt.Sprint("zone-", i%7))
 		d.syncer = &peer.Syncer{
--- a/peer/syncer_test.go
+++ b/peer/syncer_test.go
@@ -16,7 +16,7 @@
 	"citronknot/clock"
 	"citronknot/fleet"
 	"citronknot/peer"
-	"citronknot/platform"
+	"citronknot/rowstore"
 	"citronknot/standin"
 )
 
@@ -62,7 +62,7 @@
 	c := clock.Clock{NowFunc: now, WallFunc: now}
 	d := &node{id: id}
 	log := slog.New(slog.DiscardHandler)
-	d.follower = &peer.Follower{Clock: c, Log: &platform.ConfigLog{Table: m.table(id)}, Current: &d.current, Logger: log}
+	d.follower = &peer.Follower{Clock: c, Log: &rowstore.ConfigLog{Table: m.table(id)}, Current: &d.current, Logger: log}
 	d.syncer = &peer.Syncer{
 		Self: id, Zone: "z", Epoch: 1, Clock: c, Logger: log, Follower: d.follower, Assignments: &d.zones,
 		Members: func() peer.Roster { return peer.Roster{Members: m.list, Read: c.Mark(), Known: true} },
@@ -116,45 +116,45 @@
 }
 
 // table returns the table service as a member sees it.
-func (m *mesh) table(id fleet.MemberID) *platform.Table {
+func (m *mesh) table(id fleet.MemberID) *rowstore.Table {
 	down := func() bool {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		return m.down[id]
 	}
-	return &platform.Table{
-		Read: func(_ context.Context, q platform.Query) ([]platform.Row, error) {
+	return &rowstore.Table{
+		Read: func(_ context.Context, q rowstore.Query) ([]rowstore.Row, error) {
 			if down() {
-				return nil, &platform.UnavailableError{Op: "read", Err: errCut}
+				return nil, &rowstore.UnavailableError{Op: "read", Err: errCut}
 			}
-			w := platform.WireQuery{}
+			w := rowstore.WireQuery{}
 			for _, g := range q.Gets {
-				w.Gets = append(w.Gets, platform.WireRef{Table: g.Table, Key: g.Key})
+				w.Gets = append(w.Gets, rowstore.WireRef{Table: g.Table, Key: g.Key})
 			}
-			var rows []platform.Row
+			var rows []rowstore.Row
 			for _, r := range m.store.Query(w).Rows {
-				rows = append(rows, platform.Row{Ref: platform.Ref{Table: r.Table, Key: r.Key}, Version: fleet.Version(r.Version), Value: r.Value})
+				rows = append(rows, rowstore.Row{Ref: rowstore.Ref{Table: r.Table, Key: r.Key}, Version: fleet.Version(r.Version), Value: r.Value})
 			}
 			return rows, nil
 		},
-		Transact: func(_ context.Context, t platform.Transaction) ([]fleet.Version, error) {
+		Transact: func(_ context.Context, t rowstore.Transaction) ([]fleet.Version, error) {
 			if down() {
-				return nil, &platform.UnavailableError{Op: "transaction", Err: errCut}
+				return nil, &rowstore.UnavailableError{Op: "transaction", Err: errCut}
 			}
-			w := platform.WireTransaction{}
+			w := rowstore.WireTransaction{}
 			for _, c := range t.Checks {
-				w.Checks = append(w.Checks, platform.WireCheck{Table: c.Table, Key: c.Key, Version: uint64(c.Version)})
+				w.Checks = append(w.Checks, rowstore.WireCheck{Table: c.Table, Key: c.Key, Version: uint64(c.Version)})
 			}
 			for _, x := range t.Writes {
-				w.Writes = append(w.Writes, platform.WireWrite{Table: x.Table, Key: x.Key, Value: x.Value})
+				w.Writes = append(w.Writes, rowstore.WireWrite{Table: x.Table, Key: x.Key, Value: x.Value})
 			}
 			out, status := m.store.Commit(w)
 			if m.isLost() {
 				m.setDown(true, id)
-				return nil, &platform.UnavailableError{Op: "transaction", Maybe: true, Err: errCut}
+				return nil, &rowstore.UnavailableError{Op: "transaction", Maybe: true, Err: errCut}
 			}
 			if status != 200 {
-				return nil, &platform.ConflictError{}
+				return nil, &rowstore.ConflictError{}
 			}
 			return make([]fleet.Version, len(out.Versions)), nil
 		},
--- a/pool/commands.go
+++ b/pool/commands.go
@@ -5,7 +5,7 @@
 	"fmt"
 
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 // UnknownInstanceError reports an instance that the configuration does not hold.
@@ -24,5 +24,5 @@
 	if !ok {
 		return &UnknownInstanceError{Instance: id}
 	}
-	return c.Assignments.RequestDrain(ctx, in.Zone, platform.DrainRequest{Instance: id, Drain: drain, At: c.Clock.Wall()})
+	return c.Assignments.RequestDrain(ctx, in.Zone, rowstore.DrainRequest{Instance: id, Drain: drain, At: c.Clock.Wall()})
 }
--- a/pool/controller.go
+++ b/pool/controller.go
@@ -10,7 +10,7 @@
 
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 // Controller carries out the decisions for one zone while this process holds the zone's
@@ -19,20 +19,20 @@
 type Controller struct {
 	Zone        fleet.ZoneID
 	Clock       clock.Clock
-	Assignments *platform.Assignments
+	Assignments *rowstore.Assignments
 	Config      func() *fleet.Config
 	// Lease returns the lease row's version and the time left; ok is false if this process
 	// does not hold the zone's lease.
-	Lease func() (row platform.Check, left clock.Millis, ok bool)
-	// Instances is the platform's list, such as [platform.Client.Instances].
-	Instances func(ctx context.Context) ([]platform.Listed, error)
+	Lease func() (row rowstore.Check, left clock.Millis, ok bool)
+	// Instances is the platform's list, such as [rowstore.Client.Instances].
+	Instances func(ctx context.Context) ([]rowstore.Listed, error)
 	// Members returns every registered member. It fails if one may be missing.
 	Members func(ctx context.Context) ([]Member, error)
 	// Failing returns the instances that members report as failing; nil means none.
 	Failing func() map[fleet.InstanceID]bool
 	// Load returns the newest load of each pool, over all members; nil means none is known.
 	Load func() map[fleet.PoolID]Load
-	// Reboot asks the platform for a reboot, such as [platform.Client.Reboot].
+	// Reboot asks the platform for a reboot, such as [rowstore.Client.Reboot].
 	Reboot func(ctx context.Context, id fleet.InstanceID) error
 	// Publish is given each new version of the assignment; nil drops it.
 	Publish func(*fleet.Assignment)
@@ -43,7 +43,7 @@
 	Timeout  clock.Millis // of one tick; 0 means 5000
 	Log      *slog.Logger // nil means slog.Default()
 
-	known     *platform.ZoneRows
+	known     *rowstore.ZoneRows
 	published fleet.Version
 	watched   map[fleet.InstanceID]watch
 	listed    map[fleet.InstanceID]bool // ever shown by the list
@@ -69,8 +69,8 @@
 	defaultInterval = second
 	defaultTimeout  = 5 * second
 	// maxRows bounds the instance rows of one transaction: each may change a budget row and
-	// settle a request, and a transaction carries at most platform.MaxRows rows.
-	maxRows = (platform.MaxRows - 1) / 3
+	// settle a request, and a transaction carries at most rowstore.MaxRows rows.
+	maxRows = (rowstore.MaxRows - 1) / 3
 	// listGrace is how long an instance that the list never showed counts as present, because
 	// the list lags.
 	listGrace = 30 * second
--- a/pool/look.go
+++ b/pool/look.go
@@ -5,7 +5,7 @@
 
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 // look reads what the decisions need. marks holds the unplanned absences that began or ended
@@ -43,14 +43,14 @@
 // down returns the instances that the list shows as leaving or gone, or that members report
 // as failing. One that was never listed is down only if its budget row says so, or if the
 // list did not show it for long, because the list lags.
-func (c *Controller) down(now clock.Mark, cfg *fleet.Config, rows *platform.ZoneRows, list []platform.Listed) map[fleet.InstanceID]bool {
+func (c *Controller) down(now clock.Mark, cfg *fleet.Config, rows *rowstore.ZoneRows, list []rowstore.Listed) map[fleet.InstanceID]bool {
 	if c.listed == nil {
 		c.listed = map[fleet.InstanceID]bool{}
 	}
 	if c.firstList == nil {
 		c.firstList = &now
 	}
-	state := make(map[fleet.InstanceID]platform.InstanceState, len(list))
+	state := make(map[fleet.InstanceID]rowstore.InstanceState, len(list))
 	for _, l := range list {
 		state[l.ID] = l.State
 		c.listed[l.ID] = true
@@ -67,9 +67,9 @@
 		if r, known := rows.Instances[id]; known {
 			pool = r.Pool
 		}
-		marked := rows.Budgets[pool].Absent[id].Reason == platform.Unplanned
+		marked := rows.Budgets[pool].Absent[id].Reason == rowstore.Unplanned
 		gone := !ok && (c.listed[id] || marked || !grace)
-		if s == platform.StateLeaving || gone || failing[id] {
+		if s == rowstore.StateLeaving || gone || failing[id] {
 			out[id] = true
 		}
 	}
@@ -90,7 +90,7 @@
 		switch {
 		case v.Down[id] && !counted:
 			marks[id] = true
-		case !v.Down[id] && counted && a.Reason == platform.Unplanned && r.Phase == fleet.Serving:
+		case !v.Down[id] && counted && a.Reason == rowstore.Unplanned && r.Phase == fleet.Serving:
 			marks[id] = false
 		}
 	}
--- a/pool/maintenance.go
+++ b/pool/maintenance.go
@@ -7,7 +7,7 @@
 
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 // Step changes the phase of an instance.
@@ -44,7 +44,7 @@
 func Paused(v View) bool {
 	n := 0
 	for _, b := range v.Rows.Budgets {
-		n += b.Count(platform.Unplanned)
+		n += b.Count(rowstore.Unplanned)
 	}
 	return n > v.Policy.normalAbsences(len(v.Config.Instances))
 }
@@ -81,7 +81,7 @@
 		m.room[id] = p.MaxAbsent - len(m.view.Rows.Budgets[id].Absent)
 		m.out[id] = map[rackID]bool{}
 		for i, a := range m.view.Rows.Budgets[id].Absent {
-			if a.Reason == platform.Planned {
+			if a.Reason == rowstore.Planned {
 				m.out[id][rackOf(m.view.Config.Instances[i])] = true
 			}
 		}
@@ -96,7 +96,7 @@
 func (m *maintenance) step(s Step) { m.steps = append(m.steps, s) }
 
 // proceed continues what was begun with an instance.
-func (m *maintenance) proceed(r platform.InstanceRow) {
+func (m *maintenance) proceed(r rowstore.InstanceRow) {
 	request, asked := m.view.Rows.Drains[r.ID]
 	back := asked && !request.Drain
 	waited := m.view.Waited[r.ID]
@@ -121,7 +121,7 @@
 	}
 }
 
-func (m *maintenance) drain(r platform.InstanceRow, asked, back bool) {
+func (m *maintenance) drain(r rowstore.InstanceRow, asked, back bool) {
 	waited := m.view.Waited[r.ID]
 	longest := m.longestDeadline(r.Pool)
 	drained := waited.Free && (waited.Released >= longest || Quiet(r.ID, r.Version, m.view.Members))
@@ -155,7 +155,7 @@
 }
 
 // request begins a drain that an operator asked for. It waits while the budget is used up.
-func (m *maintenance) request(r platform.InstanceRow) {
+func (m *maintenance) request(r rowstore.InstanceRow) {
 	q, asked := m.view.Rows.Drains[r.ID]
 	if !asked || r.Phase != fleet.Serving {
 		return
@@ -177,7 +177,7 @@
 
 // begin begins drains in each pool, the longest unmaintained instances first.
 func (m *maintenance) begin(ids []fleet.InstanceID) {
-	due := map[fleet.PoolID][]platform.InstanceRow{}
+	due := map[fleet.PoolID][]rowstore.InstanceRow{}
 	size := map[fleet.PoolID]int{}
 	for _, id := range ids {
 		r := m.view.Rows.Instances[id]
@@ -192,9 +192,9 @@
 	}
 }
 
-func (m *maintenance) beginPool(p fleet.Pool, rows []platform.InstanceRow, size int) {
+func (m *maintenance) beginPool(p fleet.Pool, rows []rowstore.InstanceRow, size int) {
 	lead := m.lead(p, size)
-	slices.SortFunc(rows, func(a, b platform.InstanceRow) int {
+	slices.SortFunc(rows, func(a, b rowstore.InstanceRow) int {
 		return cmp.Or(cmp.Compare(a.Maintained, b.Maintained), cmp.Compare(a.ID, b.ID))
 	})
 	for _, r := range rows {
--- a/pool/plan.go
+++ b/pool/plan.go
@@ -8,7 +8,7 @@
 
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 // Move takes an instance from one pool to another.
@@ -41,7 +41,7 @@
 	have    map[fleet.PoolID]float64 // instances of the zone, by the pool they are in or move to
 	racks   map[rackKey]int
 	allRack map[fleet.RackID]bool
-	movable map[fleet.PoolID][]platform.InstanceRow
+	movable map[fleet.PoolID][]rowstore.InstanceRow
 	room    map[fleet.PoolID]int // absences that the budget still allows
 	load    map[fleet.InstanceID]int
 	pools   []fleet.PoolID
@@ -53,7 +53,7 @@
 	p := &planner{
 		view: v, weights: w, targets: v.targets(), free: v.Policy.maxMoves(),
 		have: map[fleet.PoolID]float64{}, racks: map[rackKey]int{}, allRack: map[fleet.RackID]bool{},
-		movable: map[fleet.PoolID][]platform.InstanceRow{}, room: map[fleet.PoolID]int{}, load: map[fleet.InstanceID]int{},
+		movable: map[fleet.PoolID][]rowstore.InstanceRow{}, room: map[fleet.PoolID]int{}, load: map[fleet.InstanceID]int{},
 		pools: slices.Sorted(maps.Keys(v.Config.Pools)),
 	}
 	for id, c := range v.Config.Pools {
@@ -74,7 +74,7 @@
 }
 
 // add counts an instance. One that is down is no capacity and does not move.
-func (p *planner) add(now clock.Millis, r platform.InstanceRow) {
+func (p *planner) add(now clock.Millis, r rowstore.InstanceRow) {
 	in, ok := p.view.Config.Instances[r.ID]
 	if !ok {
 		return
@@ -110,7 +110,7 @@
 
 // best makes the move that lowers the objective most, and reports whether there is one.
 func (p *planner) best() bool {
-	var row platform.InstanceRow
+	var row rowstore.InstanceRow
 	var to fleet.PoolID
 	most := p.weights.Moves
 	for _, r := range p.pools {
@@ -167,8 +167,8 @@
 // pick chooses the instance that moves from d to r: one that keeps r spread over the racks,
 // an idle one, and one from a rack where d has many and r has few. Spread is given up only
 // for a pool that is short of what demand needs.
-func (p *planner) pick(d, r fleet.PoolID) (platform.InstanceRow, bool) {
-	best := slices.MinFunc(p.movable[d], func(a, b platform.InstanceRow) int {
+func (p *planner) pick(d, r fleet.PoolID) (rowstore.InstanceRow, bool) {
+	best := slices.MinFunc(p.movable[d], func(a, b rowstore.InstanceRow) int {
 		return cmp.Or(
 			cmp.Compare(p.crowds(a, r), p.crowds(b, r)),
 			cmp.Compare(p.load[a.ID], p.load[b.ID]),
@@ -182,13 +182,13 @@
 	return best, true
 }
 
-func (p *planner) crowding(row platform.InstanceRow, pool fleet.PoolID) int {
+func (p *planner) crowding(row rowstore.InstanceRow, pool fleet.PoolID) int {
 	return p.racks[rackKey{pool, p.view.Config.Instances[row.ID].Rack}]
 }
 
 // crowds returns by how many instances a rack would exceed an even spread of pool r. A spare
 // pool needs no spread.
-func (p *planner) crowds(row platform.InstanceRow, r fleet.PoolID) int {
+func (p *planner) crowds(row rowstore.InstanceRow, r fleet.PoolID) int {
 	if p.spare(r) {
 		return 0
 	}
@@ -196,7 +196,7 @@
 	return max(0, p.crowding(row, r)+1-even)
 }
 
-func (p *planner) take(r platform.InstanceRow, to fleet.PoolID, ordered bool) {
+func (p *planner) take(r rowstore.InstanceRow, to fleet.PoolID, ordered bool) {
 	rack := p.view.Config.Instances[r.ID].Rack
 	p.moves = append(p.moves, Move{Instance: r.ID, From: r.Pool, To: to, Ordered: ordered})
 	p.free--
@@ -205,5 +205,5 @@
 	p.have[to]++
 	p.racks[rackKey{r.Pool, rack}]--
 	p.racks[rackKey{to, rack}]++
-	p.movable[r.Pool] = slices.DeleteFunc(p.movable[r.Pool], func(x platform.InstanceRow) bool { return x.ID == r.ID })
+	p.movable[r.Pool] = slices.DeleteFunc(p.movable[r.Pool], func(x rowstore.InstanceRow) bool { return x.ID == r.ID })
 }
--- a/pool/plan_test.go
+++ b/pool/plan_test.go
@@ -15,19 +15,19 @@
 
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/platform"
 	"citronknot/pool"
+	"citronknot/rowstore"
 )
 
 // oneZone is the view of a fleet in one zone in which every instance is serving.
 func oneZone(c *fleet.Config, need map[fleet.PoolID]fleet.Slots) pool.View {
 	v := pool.View{
 		Zone: "z0", Config: c, Need: need, Capacity: map[fleet.ZoneID]fleet.Slots{}, Down: map[fleet.InstanceID]bool{},
-		Rows: &platform.ZoneRows{Instances: map[fleet.InstanceID]platform.InstanceRow{}, Budgets: map[fleet.PoolID]platform.Budget{}},
+		Rows: &rowstore.ZoneRows{Instances: map[fleet.InstanceID]rowstore.InstanceRow{}, Budgets: map[fleet.PoolID]rowstore.Budget{}},
 	}
 	for id, in := range c.Instances {
 		v.Capacity[in.Zone] += in.Slots
-		v.Rows.Instances[id] = platform.InstanceRow{ID: id, Pool: in.Pool, Home: in.Pool, Phase: fleet.Serving}
+		v.Rows.Instances[id] = rowstore.InstanceRow{ID: id, Pool: in.Pool, Home: in.Pool, Phase: fleet.Serving}
 	}
 	return v
 }
@@ -139,8 +139,8 @@
 	must.Eq(t, 1, len(racks))
 	must.Eq(t, 0, len(pool.PlanMaintenance(now-2*day, v)))
 
-	v.Rows.Budgets["other"] = platform.Budget{Absent: map[fleet.InstanceID]platform.Absence{
-		"x": {Reason: platform.Unplanned}, "y": {Reason: platform.Unplanned},
+	v.Rows.Budgets["other"] = rowstore.Budget{Absent: map[fleet.InstanceID]rowstore.Absence{
+		"x": {Reason: rowstore.Unplanned}, "y": {Reason: rowstore.Unplanned},
 	}}
 	must.Eq(t, 0, len(pool.PlanMaintenance(now, v)))
 }
@@ -195,9 +195,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		asked := 0
-		c := &pool.Controller{Log: quiet, Lease: func() (platform.Check, clock.Millis, bool) {
+		c := &pool.Controller{Log: quiet, Lease: func() (rowstore.Check, clock.Millis, bool) {
 			asked++
-			return platform.Check{}, 0, false
+			return rowstore.Check{}, 0, false
 		}}
 		go c.Run(ctx)
 		time.Sleep(3500 * time.Millisecond)
--- a/pool/queries.go
+++ b/pool/queries.go
@@ -4,7 +4,7 @@
 	"maps"
 
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 // State is the state of a controller at its last tick.
@@ -34,7 +34,7 @@
 	return s
 }
 
-func (c *Controller) record(rows *platform.ZoneRows, v View, err error) {
+func (c *Controller) record(rows *rowstore.ZoneRows, v View, err error) {
 	s := State{Zone: c.Zone, Pools: map[fleet.PoolID]Counts{}}
 	if err != nil {
 		s.Err = err.Error()
@@ -44,7 +44,7 @@
 		for id := range v.Config.Pools {
 			b := rows.Budgets[id]
 			s.Pools[id] = Counts{
-				Phases: map[fleet.Phase]int{}, Planned: b.Count(platform.Planned), Unplanned: b.Count(platform.Unplanned), Need: v.Need[id],
+				Phases: map[fleet.Phase]int{}, Planned: b.Count(rowstore.Planned), Unplanned: b.Count(rowstore.Unplanned), Need: v.Need[id],
 			}
 		}
 		for _, r := range rows.Instances {
--- a/pool/steps.go
+++ b/pool/steps.go
@@ -6,13 +6,13 @@
 
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 // upkeep creates rows for instances that have none, follows configured pools that instances
 // have reached, and removes the rows of instances that left the configuration.
-func (c *Controller) upkeep(wall clock.Millis, v View) platform.Changes {
-	changes := platform.Changes{At: wall}
+func (c *Controller) upkeep(wall clock.Millis, v View) rowstore.Changes {
+	changes := rowstore.Changes{At: wall}
 	for _, id := range slices.Sorted(maps.Keys(v.Config.Instances)) {
 		in := v.Config.Instances[id]
 		if in.Zone != c.Zone || len(changes.Rows) == maxRows {
@@ -21,7 +21,7 @@
 		r, known := v.Rows.Instances[id]
 		switch {
 		case !known:
-			changes.Rows = append(changes.Rows, platform.InstanceRow{
+			changes.Rows = append(changes.Rows, rowstore.InstanceRow{
 				ID: id, Pool: in.Pool, Phase: fleet.Serving, Home: in.Pool, Since: wall, Maintained: wall,
 			})
 		case r.Phase == fleet.Serving && r.Pool == in.Pool && r.Home != in.Pool:
@@ -39,7 +39,7 @@
 
 // steps adds the ends of handovers, or else the steps of maintenance, or else the moves that
 // begin. They are not mixed, because each changes what the budgets allow the next.
-func (c *Controller) steps(wall clock.Millis, v View, changes *platform.Changes) {
+func (c *Controller) steps(wall clock.Millis, v View, changes *rowstore.Changes) {
 	for _, id := range slices.Sorted(maps.Keys(v.Rows.Instances)) {
 		if r := v.Rows.Instances[id]; r.Phase == fleet.LeavingPool && v.Waited[id].Free && len(changes.Rows) < maxRows {
 			r.Pool, r.Next, r.Phase, r.Since, r.Moved = r.Next, "", fleet.Serving, wall, wall
@@ -70,7 +70,7 @@
 	}
 }
 
-func (c *Controller) change(v View, changes *platform.Changes, r platform.InstanceRow, why string) {
+func (c *Controller) change(v View, changes *rowstore.Changes, r rowstore.InstanceRow, why string) {
 	changes.Rows = append(changes.Rows, r)
 	if v.Down[r.ID] {
 		changes.Down[r.ID] = true
@@ -79,7 +79,7 @@
 }
 
 // row returns the row of an instance after the step.
-func (s Step) row(r platform.InstanceRow, wall clock.Millis) platform.InstanceRow {
+func (s Step) row(r rowstore.InstanceRow, wall clock.Millis) rowstore.InstanceRow {
 	if r.Phase != s.To {
 		r.Since = wall
 	}
--- a/pool/view.go
+++ b/pool/view.go
@@ -3,14 +3,14 @@
 import (
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 // View is what the decisions of a zone are based on. The decisions change none of it.
 type View struct {
 	Zone     fleet.ZoneID
 	Config   *fleet.Config
-	Rows     *platform.ZoneRows
+	Rows     *rowstore.ZoneRows
 	Members  []Member
 	Down     map[fleet.InstanceID]bool    // listed as leaving or gone, or reported as failing
 	Need     map[fleet.PoolID]fleet.Slots // slots each pool needs over all zones; a pool without an entry keeps what it has
--- a/pool/world_test.go
+++ b/pool/world_test.go
@@ -15,8 +15,8 @@
 
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/platform"
 	"citronknot/pool"
+	"citronknot/rowstore"
 	"citronknot/standin"
 )
 
@@ -86,7 +86,7 @@
 
 type holder struct {
 	*pool.Controller
-	lease platform.Check
+	lease rowstore.Check
 	holds bool
 }
 
@@ -101,7 +101,7 @@
 	load     map[fleet.PoolID]pool.Load
 	booting  map[fleet.InstanceID]clock.Millis // time at which the reboot ends
 	lose     func() (before, after bool)       // whether the next commit is lost before or after it takes effect
-	late     []platform.Transaction            // lost on the way; may still arrive
+	late     []rowstore.Transaction            // lost on the way; may still arrive
 	pause    func()                            // runs between the next read and its commit
 	fail     func(format string, args ...any)
 	served   map[fleet.InstanceID]clock.Millis // end of the last maintenance
@@ -129,11 +129,11 @@
 			h := &holder{Controller: &pool.Controller{
 				Zone: fleet.ZoneID(fmt.Sprint("z", z)), Config: func() *fleet.Config { return w.config },
 				Clock:       clock.Clock{NowFunc: func() clock.Millis { return w.now }, WallFunc: func() clock.Millis { return w.now }},
-				Assignments: &platform.Assignments{Table: w.table()}, Instances: w.list, Reboot: w.reboot, Policy: policy,
+				Assignments: &rowstore.Assignments{Table: w.table()}, Instances: w.list, Reboot: w.reboot, Policy: policy,
 				Weights: pool.Association(), Load: func() map[fleet.PoolID]pool.Load { return w.load }, Log: quiet,
 			}}
 			h.Members = func(context.Context) ([]pool.Member, error) { return w.members(h.Zone), nil }
-			h.Lease = func() (platform.Check, clock.Millis, bool) { return h.lease, 6 * second, h.holds }
+			h.Lease = func() (rowstore.Check, clock.Millis, bool) { return h.lease, 6 * second, h.holds }
 			w.holders = append(w.holders, h)
 		}
 		w.grant(2 * z)
@@ -148,20 +148,20 @@
 // told and continues to believe that it holds it.
 func (w *world) grant(i int) {
 	h := w.holders[i]
-	ref := platform.WireRef{Table: "leases", Key: "zone/" + string(h.Zone)}
-	out, _ := w.platform.Commit(platform.WireTransaction{Writes: []platform.WireWrite{{Table: ref.Table, Key: ref.Key, Value: json.RawMessage(`{}`)}}})
-	h.lease = platform.Check{Ref: platform.Ref{Table: ref.Table, Key: ref.Key}, Version: fleet.Version(out.Versions[0])}
+	ref := rowstore.WireRef{Table: "leases", Key: "zone/" + string(h.Zone)}
+	out, _ := w.platform.Commit(rowstore.WireTransaction{Writes: []rowstore.WireWrite{{Table: ref.Table, Key: ref.Key, Value: json.RawMessage(`{}`)}}})
+	h.lease = rowstore.Check{Ref: rowstore.Ref{Table: ref.Table, Key: ref.Key}, Version: fleet.Version(out.Versions[0])}
 	h.holds = true
 }
 
 // gone reports whether the list shows an instance no more.
 func (w *world) gone(id fleet.InstanceID) bool { return w.down[id] || w.booting[id] > w.now }
 
-func (w *world) list(context.Context) ([]platform.Listed, error) {
-	var out []platform.Listed
+func (w *world) list(context.Context) ([]rowstore.Listed, error) {
+	var out []rowstore.Listed
 	for id, in := range w.config.Instances {
 		if !w.gone(id) {
-			out = append(out, platform.Listed{ID: id, Zone: in.Zone, State: platform.StateLive})
+			out = append(out, rowstore.Listed{ID: id, Zone: in.Zone, State: rowstore.StateLive})
 		}
 	}
 	return out, nil
@@ -194,7 +194,7 @@
 	if n.mute {
 		return
 	}
-	rows, err := (&platform.Assignments{Table: w.direct()}).Read(context.Background(), z, nil)
+	rows, err := (&rowstore.Assignments{Table: w.direct()}).Read(context.Background(), z, nil)
 	if err != nil {
 		w.fail("read: %v", err)
 		return
@@ -230,28 +230,28 @@
 	}
 }
 
-func (w *world) direct() *platform.Table {
-	return &platform.Table{Transact: w.commit, Read: func(_ context.Context, q platform.Query) ([]platform.Row, error) {
-		var in platform.WireQuery
+func (w *world) direct() *rowstore.Table {
+	return &rowstore.Table{Transact: w.commit, Read: func(_ context.Context, q rowstore.Query) ([]rowstore.Row, error) {
+		var in rowstore.WireQuery
 		for _, g := range q.Gets {
-			in.Gets = append(in.Gets, platform.WireRef{Table: g.Table, Key: g.Key})
+			in.Gets = append(in.Gets, rowstore.WireRef{Table: g.Table, Key: g.Key})
 		}
 		for _, s := range q.Scans {
-			in.Scans = append(in.Scans, platform.WireScan{Table: s.Table, Prefix: s.Prefix})
+			in.Scans = append(in.Scans, rowstore.WireScan{Table: s.Table, Prefix: s.Prefix})
 		}
-		var out []platform.Row
+		var out []rowstore.Row
 		for _, r := range w.platform.Query(in).Rows {
-			out = append(out, platform.Row{Ref: platform.Ref{Table: r.Table, Key: r.Key}, Version: fleet.Version(r.Version), Value: r.Value})
+			out = append(out, rowstore.Row{Ref: rowstore.Ref{Table: r.Table, Key: r.Key}, Version: fleet.Version(r.Version), Value: r.Value})
 		}
 		return out, nil
 	}}
 }
 
 // table loses commits before or after they take effect.
-func (w *world) table() *platform.Table {
+func (w *world) table() *rowstore.Table {
 	t := w.direct()
-	t.Transact = func(ctx context.Context, t platform.Transaction) ([]fleet.Version, error) {
-		lost := &platform.UnavailableError{Op: "transaction", Maybe: true, Err: eris.New("lost")}
+	t.Transact = func(ctx context.Context, t rowstore.Transaction) ([]fleet.Version, error) {
+		lost := &rowstore.UnavailableError{Op: "transaction", Maybe: true, Err: eris.New("lost")}
 		before, after := w.lose()
 		if before {
 			w.late = append(w.late, t)
@@ -270,19 +270,19 @@
 	return t
 }
 
-func (w *world) commit(_ context.Context, t platform.Transaction) ([]fleet.Version, error) {
-	var in platform.WireTransaction
+func (w *world) commit(_ context.Context, t rowstore.Transaction) ([]fleet.Version, error) {
+	var in rowstore.WireTransaction
 	for _, c := range t.Checks {
-		in.Checks = append(in.Checks, platform.WireCheck{Table: c.Table, Key: c.Key, Version: uint64(c.Version)})
+		in.Checks = append(in.Checks, rowstore.WireCheck{Table: c.Table, Key: c.Key, Version: uint64(c.Version)})
 	}
 	for _, x := range t.Writes {
-		in.Writes = append(in.Writes, platform.WireWrite{Table: x.Table, Key: x.Key, Value: x.Value, Delete: x.Delete})
+		in.Writes = append(in.Writes, rowstore.WireWrite{Table: x.Table, Key: x.Key, Value: x.Value, Delete: x.Delete})
 	}
 	out, status := w.platform.Commit(in)
 	if status != 200 {
-		e := &platform.ConflictError{}
+		e := &rowstore.ConflictError{}
 		for _, r := range out.Conflicts {
-			e.Rows = append(e.Rows, platform.Ref{Table: r.Table, Key: r.Key})
+			e.Rows = append(e.Rows, rowstore.Ref{Table: r.Table, Key: r.Key})
 		}
 		return nil, e
 	}
@@ -327,7 +327,7 @@
 
 // check compares the rows before and after a commit: a budget is never exceeded by taking an
 // instance out of service, and no instance moves twice within the minimum stay.
-func (w *world) check(t platform.Transaction) {
+func (w *world) check(t rowstore.Transaction) {
 	before, counted := map[fleet.InstanceID]row{}, map[fleet.InstanceID]bool{}
 	for _, b := range w.budgets {
 		for id := range b.Absent {
--- a/platform/assignment.go
+++ b/rowstore/assignment.go
@@ -1,4 +1,4 @@
-package platform
+package rowstore
 
 import (
 	"context"
@@ -107,7 +107,7 @@
 }
 
 func (e *BudgetError) Error() string {
-	return fmt.Sprintf("platform: %d of at most %d instances of pool %q are absent", e.Absent, e.MaxAbsent, e.Pool)
+	return fmt.Sprintf("rowstore: %d of at most %d instances of pool %q are absent", e.Absent, e.MaxAbsent, e.Pool)
 }
 
 // TransitionError reports a change of an instance that its row does not allow.
@@ -117,7 +117,7 @@
 }
 
 func (e *TransitionError) Error() string {
-	return fmt.Sprintf("platform: instance %q cannot change from %v to %v", e.Instance, e.From, e.To)
+	return fmt.Sprintf("rowstore: instance %q cannot change from %v to %v", e.Instance, e.From, e.To)
 }
 
 // Assignments reads and changes the placements of instances in the table service.
@@ -198,7 +198,7 @@
 		t.Writes = append(t.Writes, Write{Ref: budgetRef(p), Value: encodeBudget(next.Budgets[p])})
 	}
 	if len(t.Writes) > MaxRows {
-		return nil, eris.Errorf("platform: %d rows in one assignment change, at most %d fit", len(t.Writes), MaxRows)
+		return nil, eris.Errorf("rowstore: %d rows in one assignment change, at most %d fit", len(t.Writes), MaxRows)
 	}
 	versions, err := a.Table.Transact(ctx, t)
 	if err != nil {
--- a/platform/assignment_test.go
+++ b/rowstore/assignment_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package rowstore_test
 
 import (
 	"context"
@@ -9,37 +9,37 @@
 	"github.com/shoenig/test/must"
 
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 	"citronknot/standin"
 )
 
 var (
-	leaseRef = platform.Ref{Table: "leases", Key: "zone/z"}
+	leaseRef = rowstore.Ref{Table: "leases", Key: "zone/z"}
 	twoPools = &fleet.Config{Pools: map[fleet.PoolID]fleet.Pool{"p": {ID: "p", MaxAbsent: 1}, "q": {ID: "q", MaxAbsent: 1}}}
 )
 
 // newAssignments returns a zone with the instances a and b in pool p, and its lease.
-func newAssignments(t *testing.T) (*platform.Assignments, *standin.Platform, platform.Check, *platform.ZoneRows) {
+func newAssignments(t *testing.T) (*rowstore.Assignments, *standin.Platform, rowstore.Check, *rowstore.ZoneRows) {
 	t.Helper()
 	p := &standin.Platform{}
 	server := httptest.NewServer(p)
 	t.Cleanup(server.Close)
-	a := &platform.Assignments{Table: (&platform.Client{URL: server.URL, HTTP: server.Client()}).Table()}
+	a := &rowstore.Assignments{Table: (&rowstore.Client{URL: server.URL, HTTP: server.Client()}).Table()}
 	ctx := context.Background()
-	v, err := a.Table.Transact(ctx, platform.Transaction{Writes: []platform.Write{{Ref: leaseRef, Value: []byte("1")}}})
+	v, err := a.Table.Transact(ctx, rowstore.Transaction{Writes: []rowstore.Write{{Ref: leaseRef, Value: []byte("1")}}})
 	must.NoError(t, err)
-	lease := platform.Check{Ref: leaseRef, Version: v[0]}
+	lease := rowstore.Check{Ref: leaseRef, Version: v[0]}
 	z, err := a.Read(ctx, "z", nil)
 	must.NoError(t, err)
-	z, err = a.Apply(ctx, lease, z, twoPools, platform.Changes{Rows: []platform.InstanceRow{
+	z, err = a.Apply(ctx, lease, z, twoPools, rowstore.Changes{Rows: []rowstore.InstanceRow{
 		{ID: "a", Pool: "p", Phase: fleet.Serving}, {ID: "b", Pool: "p", Phase: fleet.Serving},
 	}})
 	must.NoError(t, err)
 	return a, p, lease, z
 }
 
-func rows(id fleet.InstanceID, pool fleet.PoolID, phase fleet.Phase) platform.Changes {
-	return platform.Changes{At: 5, Rows: []platform.InstanceRow{{ID: id, Pool: pool, Phase: phase, Maintained: 7}}}
+func rows(id fleet.InstanceID, pool fleet.PoolID, phase fleet.Phase) rowstore.Changes {
+	return rowstore.Changes{At: 5, Rows: []rowstore.InstanceRow{{ID: id, Pool: pool, Phase: phase, Maintained: 7}}}
 }
 
 // Guards against a written zone that reads back differently, and against a cached read that
@@ -49,7 +49,7 @@
 	ctx := context.Background()
 	next, err := a.Apply(ctx, lease, z, twoPools, rows("a", "p", fleet.Draining))
 	must.NoError(t, err)
-	for _, known := range []*platform.ZoneRows{nil, z, next} {
+	for _, known := range []*rowstore.ZoneRows{nil, z, next} {
 		read, err := a.Read(ctx, "z", known)
 		must.NoError(t, err)
 		must.Eq(t, next.Instances, read.Instances)
@@ -64,11 +64,11 @@
 func TestApplyRefuses(t *testing.T) {
 	a, _, lease, z := newAssignments(t)
 	ctx := context.Background()
-	var conflict *platform.ConflictError
-	var budget *platform.BudgetError
-	var transition *platform.TransitionError
+	var conflict *rowstore.ConflictError
+	var budget *rowstore.BudgetError
+	var transition *rowstore.TransitionError
 
-	_, err := a.Apply(ctx, platform.Check{Ref: leaseRef, Version: lease.Version + 1000}, z, twoPools, rows("a", "p", fleet.Draining))
+	_, err := a.Apply(ctx, rowstore.Check{Ref: leaseRef, Version: lease.Version + 1000}, z, twoPools, rows("a", "p", fleet.Draining))
 	must.True(t, errors.As(err, &conflict), must.Sprint("stale lease"))
 
 	_, err = a.Apply(ctx, lease, z, twoPools, rows("a", "q", fleet.Serving))
@@ -93,7 +93,7 @@
 	_, err = a.Apply(ctx, lease, z, twoPools, rows("a", "p", fleet.Draining))
 	must.NoError(t, err)
 	_, err = a.Apply(ctx, lease, other, twoPools, rows("c", "p", fleet.Draining))
-	var conflict *platform.ConflictError
+	var conflict *rowstore.ConflictError
 	must.True(t, errors.As(err, &conflict))
 }
 
@@ -105,5 +105,5 @@
 	next, err := a.Apply(context.Background(), lease, z, twoPools, rows("a", "p", fleet.Draining))
 	must.NoError(t, err)
 	must.Eq(t, z.Version+1, next.Version)
-	must.NoError(t, a.RequestDrain(context.Background(), "z", platform.DrainRequest{Instance: "a", Drain: true}))
+	must.NoError(t, a.RequestDrain(context.Background(), "z", rowstore.DrainRequest{Instance: "a", Drain: true}))
 }
--- a/platform/assignment_wire.go
+++ b/rowstore/assignment_wire.go
@@ -1,4 +1,4 @@
-package platform
+package rowstore
 
 import (
 	"encoding/json"
@@ -87,7 +87,7 @@
 	}
 	for _, r := range rows {
 		if err := z.decodeRow(r); err != nil {
-			return nil, eris.Wrapf(err, "platform: row %s of table %s", r.Key, r.Table)
+			return nil, eris.Wrapf(err, "rowstore: row %s of table %s", r.Key, r.Table)
 		}
 	}
 	return z, nil
--- a/platform/claim.go
+++ b/rowstore/claim.go
@@ -1,4 +1,4 @@
-package platform
+package rowstore
 
 import (
 	"crypto/sha256"
@@ -68,13 +68,13 @@
 func (e *ClaimError) Error() string {
 	switch e.State {
 	case ClaimRanAlready:
-		return fmt.Sprintf("platform: request ran already as %s", e.Holder)
+		return fmt.Sprintf("rowstore: request ran already as %s", e.Holder)
 	case ClaimOutcomeUnknown:
-		return fmt.Sprintf("platform: outcome of earlier request %s is unknown", e.Holder)
+		return fmt.Sprintf("rowstore: outcome of earlier request %s is unknown", e.Holder)
 	case ClaimStoreUnavailable:
-		return fmt.Sprintf("platform: claim not known to hold: %v", e.Err)
+		return fmt.Sprintf("rowstore: claim not known to hold: %v", e.Err)
 	}
-	return fmt.Sprintf("platform: claimed by request %s", e.Holder)
+	return fmt.Sprintf("rowstore: claimed by request %s", e.Holder)
 }
 
 func (e *ClaimError) Unwrap() error { return e.Err }
@@ -122,7 +122,7 @@
 func refusal(r Row) error {
 	var w wireClaim
 	if err := json.Unmarshal(r.Value, &w); err != nil {
-		return eris.Wrapf(err, "platform: claim %s", r.Key)
+		return eris.Wrapf(err, "rowstore: claim %s", r.Key)
 	}
 	e := &ClaimError{Holder: fleet.RequestID(w.Request)}
 	switch w.State {
--- a/platform/claimexpiry.go
+++ b/rowstore/claimexpiry.go
@@ -1,4 +1,4 @@
-package platform
+package rowstore
 
 import (
 	"context"
@@ -44,7 +44,7 @@
 func (x *ClaimExpiry) Run(ctx context.Context) {
 	every(ctx, expiryEvery, func() {
 		_, err := x.Step(ctx)
-		warn(ctx, x.Log, "platform: claims not expired", err)
+		warn(ctx, x.Log, "rowstore: claims not expired", err)
 	})
 }
 
--- a/platform/claims_cases_test.go
+++ b/rowstore/claims_cases_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package rowstore_test
 
 import (
 	"context"
@@ -12,14 +12,14 @@
 	"github.com/shoenig/test/must"
 
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 // inClaims runs f with claims that are decided, under virtual time.
-func inClaims(t *testing.T, f func(c *platform.Claims, w *world)) {
+func inClaims(t *testing.T, f func(c *rowstore.Claims, w *world)) {
 	synctest.Test(t, func(*testing.T) {
 		w := &world{calm: true}
-		c := &platform.Claims{Table: w.table(), Self: "a"}
+		c := &rowstore.Claims{Table: w.table(), Self: "a"}
 		ctx, cancel := context.WithCancel(context.Background())
 		var run sync.WaitGroup
 		run.Go(func() { c.Run(ctx) })
@@ -29,18 +29,18 @@
 	})
 }
 
-func claim(c *platform.Claims, id string) (*platform.Claim, *platform.ClaimError) {
+func claim(c *rowstore.Claims, id string) (*rowstore.Claim, *rowstore.ClaimError) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	got, err := c.Claim(ctx, platform.ClaimRequest{Team: "t", IdempotencyKey: "k", Request: fleet.RequestID(id)})
-	var refused *platform.ClaimError
+	got, err := c.Claim(ctx, rowstore.ClaimRequest{Team: "t", IdempotencyKey: "k", Request: fleet.RequestID(id)})
+	var refused *rowstore.ClaimError
 	errors.As(err, &refused)
 	return got, refused
 }
 
 // Guards against two requests with one key in one batch that both hold their claim.
 func TestClaimsOfOneKeyInOneBatch(t *testing.T) {
-	inClaims(t, func(c *platform.Claims, _ *world) {
+	inClaims(t, func(c *rowstore.Claims, _ *world) {
 		var wg sync.WaitGroup
 		var mu sync.Mutex
 		held := 0
@@ -52,7 +52,7 @@
 				if got != nil {
 					held++
 				} else {
-					must.Eq(t, platform.ClaimedByOther, refused.State)
+					must.Eq(t, rowstore.ClaimedByOther, refused.State)
 				}
 			})
 		}
@@ -64,24 +64,24 @@
 // Guards against an answer that is not given again, an answer kept beyond the bound, and a key
 // that stays claimed by a request that did not run.
 func TestClaimSettle(t *testing.T) {
-	inClaims(t, func(c *platform.Claims, _ *world) {
+	inClaims(t, func(c *rowstore.Claims, _ *world) {
 		first, _ := claim(c, "1")
-		first.Settle(platform.OutcomeNotRun, nil)
-		first.Settle(platform.OutcomeRan, nil)
+		first.Settle(rowstore.OutcomeNotRun, nil)
+		first.Settle(rowstore.OutcomeRan, nil)
 		time.Sleep(time.Second)
 		second, _ := claim(c, "2")
-		second.Settle(platform.OutcomeRan, &platform.RecordedAnswer{Status: 201, Body: []byte("done")})
+		second.Settle(rowstore.OutcomeRan, &rowstore.RecordedAnswer{Status: 201, Body: []byte("done")})
 		time.Sleep(time.Second)
 		_, refused := claim(c, "3")
-		must.Eq(t, platform.ClaimRanAlready, refused.State)
+		must.Eq(t, rowstore.ClaimRanAlready, refused.State)
 		must.Eq(t, "done", string(refused.Answer.Body))
 	})
-	inClaims(t, func(c *platform.Claims, _ *world) {
+	inClaims(t, func(c *rowstore.Claims, _ *world) {
 		large, _ := claim(c, "1")
-		large.Settle(platform.OutcomeRan, &platform.RecordedAnswer{Body: make([]byte, platform.MaxRecordedBody+1)})
+		large.Settle(rowstore.OutcomeRan, &rowstore.RecordedAnswer{Body: make([]byte, rowstore.MaxRecordedBody+1)})
 		time.Sleep(time.Second)
 		_, refused := claim(c, "2")
-		must.Eq(t, platform.ClaimRanAlready, refused.State)
+		must.Eq(t, rowstore.ClaimRanAlready, refused.State)
 		must.Nil(t, refused.Answer)
 	})
 }
@@ -89,15 +89,15 @@
 // Guards against a claim that stays in the table after its request was refused because the
 // write took effect late.
 func TestLateClaimIsRemoved(t *testing.T) {
-	inClaims(t, func(c *platform.Claims, w *world) {
+	inClaims(t, func(c *rowstore.Claims, w *world) {
 		calm := c.Table.Transact
-		var late platform.Transaction
-		c.Table.Transact = func(_ context.Context, tx platform.Transaction) ([]fleet.Version, error) {
+		var late rowstore.Transaction
+		c.Table.Transact = func(_ context.Context, tx rowstore.Transaction) ([]fleet.Version, error) {
 			late = tx
-			return nil, &platform.UnavailableError{Maybe: true, Err: errFault}
+			return nil, &rowstore.UnavailableError{Maybe: true, Err: errFault}
 		}
 		_, refused := claim(c, "1")
-		must.Eq(t, platform.ClaimStoreUnavailable, refused.State)
+		must.Eq(t, rowstore.ClaimStoreUnavailable, refused.State)
 		c.Table.Transact = calm
 		time.Sleep(5 * time.Second)
 		_, err := w.commit(late)
@@ -114,13 +114,13 @@
 	ctx := context.Background()
 	w := &world{calm: true}
 	s := &skewed{world: w}
-	inClaims(t, func(c *platform.Claims, _ *world) {
+	inClaims(t, func(c *rowstore.Claims, _ *world) {
 		c.Table, c.Clock = w.table(), s.clock()
 		_, refused := claim(c, "1")
 		must.Nil(t, refused)
 	})
-	lease := &platform.Lease{Table: w.table(), Clock: s.clock(), Name: "fleet", Self: "a"}
-	x := &platform.ClaimExpiry{
+	lease := &rowstore.Lease{Table: w.table(), Clock: s.clock(), Name: "fleet", Self: "a"}
+	x := &rowstore.ClaimExpiry{
 		Table: w.table(), Clock: s.clock(), Lease: lease,
 		Teams: func() []fleet.TeamID { return []fleet.TeamID{"s", "t"} },
 	}
@@ -134,14 +134,14 @@
 		return n
 	}
 	must.Eq(t, 0, pass())
-	s.wall += platform.ClaimAge
+	s.wall += rowstore.ClaimAge
 	w.now += 7000 // the jump ended the lease
 	must.Eq(t, 0, pass())
-	w.now += platform.ClaimAge
+	w.now += rowstore.ClaimAge
 	for range 600 { // the lease has ended
 		k, _ := x.Step(ctx)
 		must.Eq(t, 0, k)
 	}
 	must.Eq(t, 1, pass())
-	must.Eq(t, 0, len(w.rows(platform.Query{Scans: []platform.Scan{{Table: "claims"}}})))
+	must.Eq(t, 0, len(w.rows(rowstore.Query{Scans: []rowstore.Scan{{Table: "claims"}}})))
 }
--- a/platform/claims_test.go
+++ b/rowstore/claims_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package rowstore_test
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 	"pgregory.net/rapid"
 
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 // faulty is a table whose transactions are slow, lost or delayed by a seeded choice.
@@ -34,10 +34,10 @@
 	return f.rand.IntN(n)
 }
 
-func (f *faulty) table() *platform.Table {
-	lost := &platform.UnavailableError{Op: "transaction", Maybe: true, Err: errFault}
-	return &platform.Table{
-		Transact: func(_ context.Context, t platform.Transaction) ([]fleet.Version, error) {
+func (f *faulty) table() *rowstore.Table {
+	lost := &rowstore.UnavailableError{Op: "transaction", Maybe: true, Err: errFault}
+	return &rowstore.Table{
+		Transact: func(_ context.Context, t rowstore.Transaction) ([]fleet.Version, error) {
 			time.Sleep(time.Duration(1+f.draw(10_000)) * time.Microsecond)
 			switch f.draw(8) {
 			case 0:
@@ -55,10 +55,10 @@
 			}
 			return f.commit(t)
 		},
-		Read: func(_ context.Context, q platform.Query) ([]platform.Row, error) {
+		Read: func(_ context.Context, q rowstore.Query) ([]rowstore.Row, error) {
 			time.Sleep(time.Duration(1+f.draw(5000)) * time.Microsecond)
 			if f.draw(8) == 0 {
-				return nil, &platform.UnavailableError{Op: "read", Err: errFault}
+				return nil, &rowstore.UnavailableError{Op: "read", Err: errFault}
 			}
 			return f.rows(q), nil
 		},
@@ -127,29 +127,29 @@
 }
 
 // tryClaim claims once, records what happened and reports whether the request was sent.
-func tryClaim(h *history, c *platform.Claims, f *faulty, client int, id string) (ran bool) {
+func tryClaim(h *history, c *rowstore.Claims, f *faulty, client int, id string) (ran bool) {
 	call := h.now()
-	claim, err := c.Claim(context.Background(), platform.ClaimRequest{Team: "t", Queue: "q", IdempotencyKey: "k", Request: fleet.RequestID(id)})
+	claim, err := c.Claim(context.Background(), rowstore.ClaimRequest{Team: "t", Queue: "q", IdempotencyKey: "k", Request: fleet.RequestID(id)})
 	end := h.now()
-	var refused *platform.ClaimError
+	var refused *rowstore.ClaimError
 	switch {
 	case err == nil:
 		h.add(client, claimOp{"claim", id}, call, claimResult{id, "running"}, end)
 		time.Sleep(time.Duration(f.draw(20)) * time.Millisecond)
 		if f.draw(2) == 0 {
 			h.add(client, claimOp{"ran", id}, h.now(), nil, never)
-			claim.Settle(platform.OutcomeRan, &platform.RecordedAnswer{Status: 200, Body: []byte(id)})
+			claim.Settle(rowstore.OutcomeRan, &rowstore.RecordedAnswer{Status: 200, Body: []byte(id)})
 			return true
 		}
 		h.add(client, claimOp{"not run", id}, h.now(), nil, never)
-		claim.Settle(platform.OutcomeNotRun, nil)
-	case errors.As(err, &refused) && refused.State == platform.ClaimStoreUnavailable:
+		claim.Settle(rowstore.OutcomeNotRun, nil)
+	case errors.As(err, &refused) && refused.State == rowstore.ClaimStoreUnavailable:
 		h.add(client, claimOp{"ghost", id}, call, nil, never)
 	case errors.As(err, &refused):
 		h.add(client, claimOp{"ghost", id}, call, nil, never) // an earlier try may have been delayed
-		state := map[platform.ClaimState]string{platform.ClaimedByOther: "running", platform.ClaimRanAlready: "ran"}[refused.State]
+		state := map[rowstore.ClaimState]string{rowstore.ClaimedByOther: "running", rowstore.ClaimRanAlready: "ran"}[refused.State]
 		h.add(client, claimOp{"claim", id}, call, claimResult{string(refused.Holder), state}, end)
-		if refused.State == platform.ClaimRanAlready && string(refused.Answer.Body) != string(refused.Holder) {
+		if refused.State == rowstore.ClaimRanAlready && string(refused.Answer.Body) != string(refused.Holder) {
 			panic("answer of another request")
 		}
 	}
@@ -169,7 +169,7 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			var members, clients sync.WaitGroup
 			for m := range 2 {
-				c := &platform.Claims{Table: f.table(), Self: fleet.MemberID(rune('a' + m))}
+				c := &rowstore.Claims{Table: f.table(), Self: fleet.MemberID(rune('a' + m))}
 				members.Go(func() { c.Run(ctx) })
 				for k := range 2 {
 					clients.Go(func() {
@@ -235,14 +235,14 @@
 			var clients sync.WaitGroup
 			for k := range 3 {
 				clients.Go(func() {
-					l := &platform.ConfigLog{Table: f.table()}
+					l := &rowstore.ConfigLog{Table: f.table()}
 					for i := range 4 {
 						n := fleet.ReleaseNote{ID: fleet.NoteID(rune('a' + 4*k + i)), Base: fleet.Version(f.draw(4))}
 						time.Sleep(time.Duration(f.draw(50)) * time.Millisecond)
 						call := h.now()
 						v, err := l.Accept(context.Background(), n)
 						out, end := acceptResult{version: v}, h.now()
-						var stale *platform.StaleBaseError
+						var stale *rowstore.StaleBaseError
 						if errors.As(err, &stale) {
 							out.head = stale.Head.Version
 						} else if err != nil {
@@ -262,7 +262,7 @@
 // Reports the claims that share one commit.
 func BenchmarkClaim(b *testing.B) {
 	w := &world{calm: true}
-	c := &platform.Claims{Table: w.table(), Self: "a"}
+	c := &rowstore.Claims{Table: w.table(), Self: "a"}
 	ctx, cancel := context.WithCancel(context.Background())
 	var run sync.WaitGroup
 	run.Go(func() { c.Run(ctx) })
@@ -270,7 +270,7 @@
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
 			id := fmt.Sprint(rand.Uint64())
-			_, err := c.Claim(ctx, platform.ClaimRequest{Team: "t", IdempotencyKey: id, Request: fleet.RequestID(id)})
+			_, err := c.Claim(ctx, rowstore.ClaimRequest{Team: "t", IdempotencyKey: id, Request: fleet.RequestID(id)})
 			must.NoError(b, err)
 		}
 	})
--- a/platform/client.go
+++ b/rowstore/client.go
@@ -1,4 +1,4 @@
-package platform
+package rowstore
 
 import (
 	"bytes"
@@ -85,7 +85,7 @@
 	if in != nil {
 		text, err := json.Marshal(in)
 		if err != nil {
-			return 0, "", false, eris.Wrap(err, "platform: encode")
+			return 0, "", false, eris.Wrap(err, "rowstore: encode")
 		}
 		body = bytes.NewReader(text)
 	}
@@ -95,7 +95,7 @@
 	})
 	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, body)
 	if err != nil {
-		return 0, "", false, eris.Wrap(err, "platform: request")
+		return 0, "", false, eris.Wrap(err, "rowstore: request")
 	}
 	req.Header.Set("Content-Type", contentJSON)
 	req.Header.Set(ZoneHeader, string(c.Zone))
@@ -104,16 +104,16 @@
 	}
 	resp, err := c.client().Do(req)
 	if err != nil {
-		return 0, "", connected.Load(), eris.Wrap(err, "platform: call")
+		return 0, "", connected.Load(), eris.Wrap(err, "rowstore: call")
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
-		return 0, "", true, eris.Wrap(err, "platform: answer")
+		return 0, "", true, eris.Wrap(err, "rowstore: answer")
 	}
 	if out != nil && (resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusConflict) {
 		if err := json.Unmarshal(text, out); err != nil {
-			return 0, "", true, eris.Wrap(err, "platform: decode")
+			return 0, "", true, eris.Wrap(err, "rowstore: decode")
 		}
 	}
 	return resp.StatusCode, resp.Header.Get("ETag"), true, nil
--- a/platform/client_test.go
+++ b/rowstore/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package rowstore_test
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"citronknot/platform"
+	"citronknot/rowstore"
 	"citronknot/standin"
 )
 
@@ -28,26 +28,26 @@
 		_, _ = w.Write(recorder.Body.Bytes())
 	}))
 	defer server.Close()
-	c := &platform.Client{URL: server.URL, HTTP: server.Client()}
-	read := func() []platform.Listed {
+	c := &rowstore.Client{URL: server.URL, HTTP: server.Client()}
+	read := func() []rowstore.Listed {
 		list, err := c.Instances(context.Background())
 		must.NoError(t, err)
 		return list
 	}
-	p.SetInstance(platform.WireInstance{ID: "i", Zone: "z", State: "live"})
-	live := []platform.Listed{{ID: "i", Zone: "z", State: platform.StateLive}}
+	p.SetInstance(rowstore.WireInstance{ID: "i", Zone: "z", State: "live"})
+	live := []rowstore.Listed{{ID: "i", Zone: "z", State: rowstore.StateLive}}
 	must.Eq(t, live, read())
 	held := read()
 	must.Eq(t, live, held)
 	held[0].ID = "changed by the caller"
 	must.Eq(t, live, read())
-	p.SetInstance(platform.WireInstance{ID: "i", Zone: "z", State: "leaving"})
-	must.Eq(t, []platform.Listed{{ID: "i", Zone: "z", State: platform.StateLeaving}}, read())
+	p.SetInstance(rowstore.WireInstance{ID: "i", Zone: "z", State: "leaving"})
+	must.Eq(t, []rowstore.Listed{{ID: "i", Zone: "z", State: rowstore.StateLeaving}}, read())
 	must.Eq(t, []int{200, 304, 304, 200}, statuses)
 	p.SetFaults(standin.Faults{Down: true})
 	_, err := c.Instances(context.Background())
 	must.Error(t, err)
 	p.SetFaults(standin.Faults{})
-	p.SetInstance(platform.WireInstance{ID: "i"})
+	p.SetInstance(rowstore.WireInstance{ID: "i"})
 	must.SliceEmpty(t, read())
 }
--- a/platform/configlog.go
+++ b/rowstore/configlog.go
@@ -1,4 +1,4 @@
-package platform
+package rowstore
 
 import (
 	"context"
@@ -44,7 +44,7 @@
 }
 
 func (e *StaleBaseError) Error() string {
-	return fmt.Sprintf("platform: release note is based on version %d, the newest is %d (note %q)", e.Base, e.Head.Version, e.Head.Note)
+	return fmt.Sprintf("rowstore: release note is based on version %d, the newest is %d (note %q)", e.Base, e.Head.Version, e.Head.Note)
 }
 
 // Head reads the newest accepted version. A log without notes has version 0.
@@ -60,7 +60,7 @@
 		return h, 0, err
 	}
 	if err := json.Unmarshal(row.Value, &h); err != nil {
-		return h, 0, eris.Wrap(err, "platform: config head")
+		return h, 0, eris.Wrap(err, "rowstore: config head")
 	}
 	return h, row.Version, nil
 }
@@ -76,12 +76,12 @@
 		return nil, err
 	}
 	if len(rows) != int(to-from) {
-		return nil, eris.Errorf("platform: %d of the notes %d to %d exist", len(rows), from+1, to)
+		return nil, eris.Errorf("rowstore: %d of the notes %d to %d exist", len(rows), from+1, to)
 	}
 	notes := make([]fleet.ReleaseNote, len(rows))
 	for i, r := range rows {
 		if notes[i], err = note.Decode(r.Value); err != nil {
-			return nil, eris.Wrapf(err, "platform: note %s", r.Key)
+			return nil, eris.Wrapf(err, "rowstore: note %s", r.Key)
 		}
 	}
 	return notes, nil
@@ -106,7 +106,7 @@
 	attempt := wireHead{Version: uint64(next), Note: string(n.ID), Attempt: fmt.Sprintf("%016x", rand.Uint64())}
 	value, err := json.Marshal(attempt)
 	if err != nil {
-		return 0, eris.Wrap(err, "platform: config head")
+		return 0, eris.Wrap(err, "rowstore: config head")
 	}
 	_, err = l.Table.Transact(ctx, Transaction{
 		Checks: []Check{{Ref: headRef, Version: rowVersion}},
--- a/platform/configlog_test.go
+++ b/rowstore/configlog_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package rowstore_test
 
 import (
 	"context"
@@ -9,17 +9,17 @@
 	"github.com/shoenig/test/must"
 
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 	"citronknot/standin"
 )
 
-func newLog(t *testing.T) (*platform.ConfigLog, *standin.Platform) {
+func newLog(t *testing.T) (*rowstore.ConfigLog, *standin.Platform) {
 	t.Helper()
 	p := &standin.Platform{}
 	server := httptest.NewServer(p)
 	t.Cleanup(server.Close)
-	c := &platform.Client{URL: server.URL, HTTP: server.Client()}
-	return &platform.ConfigLog{Table: c.Table()}, p
+	c := &rowstore.Client{URL: server.URL, HTTP: server.Client()}
+	return &rowstore.ConfigLog{Table: c.Table()}, p
 }
 
 // Guards against both of two racing notes being accepted, and against a repeat being refused.
@@ -34,7 +34,7 @@
 	must.NoError(t, err)
 	must.Eq(t, fleet.Version(1), v)
 	_, err = l.Accept(ctx, fleet.ReleaseNote{ID: "b"})
-	var stale *platform.StaleBaseError
+	var stale *rowstore.StaleBaseError
 	must.True(t, errors.As(err, &stale))
 	must.Eq(t, fleet.Version(1), stale.Head.Version)
 }
--- a/platform/errors.go
+++ b/rowstore/errors.go
@@ -1,4 +1,4 @@
-package platform
+package rowstore
 
 import "fmt"
 
@@ -8,7 +8,7 @@
 }
 
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("platform: transaction conflict on %v", e.Rows)
+	return fmt.Sprintf("rowstore: transaction conflict on %v", e.Rows)
 }
 
 // UnavailableError reports that the platform did not answer.
@@ -20,9 +20,9 @@
 
 func (e *UnavailableError) Error() string {
 	if e.Maybe {
-		return fmt.Sprintf("platform: %s: no answer, the write may have taken effect: %v", e.Op, e.Err)
+		return fmt.Sprintf("rowstore: %s: no answer, the write may have taken effect: %v", e.Op, e.Err)
 	}
-	return fmt.Sprintf("platform: %s: unavailable: %v", e.Op, e.Err)
+	return fmt.Sprintf("rowstore: %s: unavailable: %v", e.Op, e.Err)
 }
 
 func (e *UnavailableError) Unwrap() error { return e.Err }
--- a/platform/escrow_cases_test.go
+++ b/rowstore/escrow_cases_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package rowstore_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 // calmWorld has members that hold slots of a team with a limit of 10.
@@ -48,9 +48,9 @@
 		renew bool // the dead member renews while the reclaim is under way
 		want  int
 	}{
-		{"silent", false, platform.EscrowTerm + platform.EscrowDrift + longest, false, 5},
+		{"silent", false, rowstore.EscrowTerm + rowstore.EscrowDrift + longest, false, 5},
 		{"gone by the list", true, longest, false, 5},
-		{"not dead after all", false, platform.EscrowTerm + platform.EscrowDrift + longest, true, 0},
+		{"not dead after all", false, rowstore.EscrowTerm + rowstore.EscrowDrift + longest, true, 0},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -67,7 +67,7 @@
 			w.now++
 			must.NoError(t, b.members.Renew(context.Background()))
 			calm := b.escrow.Table.Transact
-			b.escrow.Table.Transact = func(ctx context.Context, tx platform.Transaction) ([]fleet.Version, error) {
+			b.escrow.Table.Transact = func(ctx context.Context, tx rowstore.Transaction) ([]fleet.Version, error) {
 				if tc.renew {
 					must.NoError(t, a.members.Renew(ctx))
 				}
@@ -91,16 +91,16 @@
 	_ = a.escrow.Rebalance(ctx) // the peak of the last round still counts
 	b.escrow.TryStart("a")
 	calm := a.escrow.Table.Transact
-	var late platform.Transaction
-	lost := &platform.UnavailableError{Op: "transaction", Maybe: true, Err: errFault}
-	a.escrow.Table.Transact = func(_ context.Context, tx platform.Transaction) ([]fleet.Version, error) {
+	var late rowstore.Transaction
+	lost := &rowstore.UnavailableError{Op: "transaction", Maybe: true, Err: errFault}
+	a.escrow.Table.Transact = func(_ context.Context, tx rowstore.Transaction) ([]fleet.Version, error) {
 		late = tx
 		return nil, lost
 	}
 	must.Error(t, a.escrow.Rebalance(ctx))
 	low := a.escrow.Portions()["a"].Slots
 	must.Less(t, 10, low)
-	a.escrow.Table.Transact = func(context.Context, platform.Transaction) ([]fleet.Version, error) { return nil, lost }
+	a.escrow.Table.Transact = func(context.Context, rowstore.Transaction) ([]fleet.Version, error) { return nil, lost }
 	for range 20 {
 		a.escrow.TryStart("a") // demand for the whole portion
 	}
@@ -126,7 +126,7 @@
 	must.Eq(t, 0, w.round(t, b, 5))
 	armed := false
 	read, now := a.escrow.Table.Read, a.members.Clock.NowFunc
-	a.escrow.Table.Read = func(ctx context.Context, q platform.Query) ([]platform.Row, error) {
+	a.escrow.Table.Read = func(ctx context.Context, q rowstore.Query) ([]rowstore.Row, error) {
 		if armed = len(q.Scans) == 0; !armed { // the round has to decide without the other zones
 			return nil, errFault
 		}
@@ -222,13 +222,13 @@
 	w.gone["a"] = true
 	must.NoError(t, c.members.Renew(ctx))
 	must.True(t, c.members.MayAccept())
-	removed, err := c.members.Remove(ctx, "a", platform.Check{Ref: platform.Ref{Table: "leases", Key: "fleet"}})
+	removed, err := c.members.Remove(ctx, "a", rowstore.Check{Ref: rowstore.Ref{Table: "leases", Key: "fleet"}})
 	must.NoError(t, err)
 	must.True(t, removed)
-	removed, err = c.members.Remove(ctx, "b", platform.Check{Ref: platform.Ref{Table: "leases", Key: "fleet"}})
+	removed, err = c.members.Remove(ctx, "b", rowstore.Check{Ref: rowstore.Ref{Table: "leases", Key: "fleet"}})
 	must.NoError(t, err)
 	must.False(t, removed)
-	var missing *platform.NotRegisteredError
+	var missing *rowstore.NotRegisteredError
 	must.True(t, errors.As(a.members.Renew(ctx), &missing))
 }
 
@@ -260,9 +260,9 @@
 
 // Guards against a member that was never listed, because the list lags, being taken for gone.
 func TestPresence(t *testing.T) {
-	p := &platform.Presence{}
+	p := &rowstore.Presence{}
 	must.False(t, p.Gone("a"))
-	p.Observe([]platform.Listed{{ID: "a"}})
+	p.Observe([]rowstore.Listed{{ID: "a"}})
 	must.False(t, p.Gone("a"))
 	p.Observe(nil)
 	must.True(t, p.Gone("a"))
--- a/platform/escrow_test.go
+++ b/rowstore/escrow_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package rowstore_test
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 const longest clock.Millis = 600_000
@@ -21,8 +21,8 @@
 // process is one entry instance of the escrow tests.
 type process struct {
 	clock   *skewed
-	members *platform.Members
-	escrow  *platform.Escrow
+	members *rowstore.Members
+	escrow  *rowstore.Escrow
 	ends    []clock.Millis // latest ends of its requests, in true time
 }
 
@@ -54,11 +54,11 @@
 func (w *escrowWorld) start(id fleet.MemberID, zone fleet.ZoneID) *process {
 	c := &skewed{world: w.world, now: clock.Millis(len(w.live)) * 77_000, wall: clock.Millis(len(w.live)) * 5_000_000}
 	p := &process{clock: c}
-	p.members = &platform.Members{
-		Table: w.table(), Clock: c.clock(), Self: platform.Member{ID: id, Zone: zone},
+	p.members = &rowstore.Members{
+		Table: w.table(), Clock: c.clock(), Self: rowstore.Member{ID: id, Zone: zone},
 		Gone: func(m fleet.MemberID) bool { return w.gone[m] },
 	}
-	p.escrow = &platform.Escrow{
+	p.escrow = &rowstore.Escrow{
 		Table: w.table(), Clock: c.clock(), Members: p.members, Zone: zone,
 		Config: func() *fleet.Config { return w.config },
 	}
@@ -99,7 +99,7 @@
 	t.Helper()
 	limit, sum, debt := 0, 0, 0
 	slots := map[string]int{}
-	for _, r := range w.rows(platform.Query{Scans: []platform.Scan{{Table: "limits"}}}) {
+	for _, r := range w.rows(rowstore.Query{Scans: []rowstore.Scan{{Table: "limits"}}}) {
 		var row limitRow
 		must.NoError(t, json.Unmarshal(r.Value, &row))
 		sum += row.Free
--- a/platform/lease.go
+++ b/rowstore/lease.go
@@ -1,4 +1,4 @@
-package platform
+package rowstore
 
 import (
 	"context"
@@ -173,7 +173,7 @@
 	var w wireLease
 	if row.Version != 0 {
 		if err := json.Unmarshal(row.Value, &w); err != nil {
-			return eris.Wrapf(err, "platform: lease %s", l.Name)
+			return eris.Wrapf(err, "rowstore: lease %s", l.Name)
 		}
 	}
 	l.mu.Lock()
@@ -192,7 +192,7 @@
 
 // Run takes a step three times a term until ctx ends, and then releases the lease.
 func (l *Lease) Run(ctx context.Context) {
-	every(ctx, l.term()/3, func() { warn(ctx, l.Log, "platform: lease step failed", l.Step(ctx)) })
+	every(ctx, l.term()/3, func() { warn(ctx, l.Log, "rowstore: lease step failed", l.Step(ctx)) })
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), l.term().Duration()/3)
 	defer cancel()
 	_ = l.Release(ctx)
@@ -212,7 +212,7 @@
 	}
 	value, err := json.Marshal(w)
 	if err != nil {
-		return eris.Wrap(err, "platform: lease")
+		return eris.Wrap(err, "rowstore: lease")
 	}
 	tx.Writes = []Write{{Ref: l.ref(), Value: value}}
 	_, err = l.Table.Transact(ctx, tx)
--- a/platform/lease_test.go
+++ b/rowstore/lease_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package rowstore_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 // Guards against two members holding a lease at once under lost and delayed writes, pauses
@@ -20,11 +20,11 @@
 		ctx := context.Background()
 		w := &world{t: t}
 		clocks := make([]*skewed, 3)
-		leases := make([]*platform.Lease, 3)
+		leases := make([]*rowstore.Lease, 3)
 		held := 0
 		for i := range leases {
 			clocks[i] = &skewed{world: w, now: clock.Millis(i) * 100_000, wall: clock.Millis(i) * 7000}
-			leases[i] = &platform.Lease{Table: w.table(), Clock: clocks[i].clock(), Name: "fleet", Self: fleet.MemberID(rune('a' + i))}
+			leases[i] = &rowstore.Lease{Table: w.table(), Clock: clocks[i].clock(), Name: "fleet", Self: fleet.MemberID(rune('a' + i))}
 		}
 		pick := func() int { return rapid.IntRange(0, 2).Draw(t, "member") }
 		advance := func(*rapid.T) {
@@ -79,8 +79,8 @@
 	ctx := context.Background()
 	w := &world{calm: true}
 	c := (&skewed{world: w}).clock()
-	a := &platform.Lease{Table: w.table(), Clock: c, Name: "fleet", Self: "a"}
-	b := &platform.Lease{Table: w.table(), Clock: c, Name: "fleet", Self: "b"}
+	a := &rowstore.Lease{Table: w.table(), Clock: c, Name: "fleet", Self: "a"}
+	b := &rowstore.Lease{Table: w.table(), Clock: c, Name: "fleet", Self: "b"}
 	must.NoError(t, a.Step(ctx))
 	old, ok := a.Held()
 	must.True(t, ok)
@@ -95,7 +95,7 @@
 	must.True(t, ok)
 	_, ok = a.Held()
 	must.False(t, ok)
-	_, err := w.commit(platform.Transaction{Checks: []platform.Check{old}})
+	_, err := w.commit(rowstore.Transaction{Checks: []rowstore.Check{old}})
 	must.Error(t, err)
 }
 
@@ -104,11 +104,11 @@
 func TestLeaseTermCountsFromSending(t *testing.T) {
 	w := &world{calm: true}
 	slow := w.table()
-	slow.Transact = func(ctx context.Context, tx platform.Transaction) ([]fleet.Version, error) {
+	slow.Transact = func(ctx context.Context, tx rowstore.Transaction) ([]fleet.Version, error) {
 		defer func() { w.now += 5000 }()
 		return w.transact(ctx, tx)
 	}
-	l := &platform.Lease{Table: slow, Clock: (&skewed{world: w}).clock(), Name: "fleet", Self: "a"}
+	l := &rowstore.Lease{Table: slow, Clock: (&skewed{world: w}).clock(), Name: "fleet", Self: "a"}
 	must.NoError(t, l.Step(context.Background()))
 	_, ok := l.Held()
 	must.True(t, ok)
--- a/platform/limit.go
+++ b/rowstore/limit.go
@@ -1,4 +1,4 @@
-package platform
+package rowstore
 
 import (
 	"bytes"
@@ -98,15 +98,15 @@
 	v.was[r.Ref] = r.Value
 	zone, err := url.PathUnescape(r.Key[len(limitPrefix(v.team)):])
 	if err != nil {
-		return eris.Wrapf(err, "platform: limit %s", r.Key)
+		return eris.Wrapf(err, "rowstore: limit %s", r.Key)
 	}
 	if zone == "" {
 		v.rootVersion = r.Version
-		return eris.Wrapf(json.Unmarshal(r.Value, &v.root), "platform: limit %s", r.Key)
+		return eris.Wrapf(json.Unmarshal(r.Value, &v.root), "rowstore: limit %s", r.Key)
 	}
 	z := &limitZone{}
 	v.zones[fleet.ZoneID(zone)], v.versions[fleet.ZoneID(zone)] = z, r.Version
-	return eris.Wrapf(json.Unmarshal(r.Value, z), "platform: limit %s", r.Key)
+	return eris.Wrapf(json.Unmarshal(r.Value, z), "rowstore: limit %s", r.Key)
 }
 
 // zoneIDs returns the zones in order, so that a round is repeatable.
--- a/platform/main_test.go
+++ b/rowstore/main_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package rowstore_test
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 	"citronknot/standin"
 )
 
@@ -58,7 +58,7 @@
 	t       *rapid.T
 	store   standin.Platform
 	now     clock.Millis
-	delayed []platform.Transaction
+	delayed []rowstore.Transaction
 	between func() // what others do while a call is under way
 	nested  bool
 	calm    bool // no faults
@@ -75,17 +75,17 @@
 	w.nested = false
 }
 
-func (w *world) table() *platform.Table {
-	return &platform.Table{Transact: w.transact, Read: w.read}
+func (w *world) table() *rowstore.Table {
+	return &rowstore.Table{Transact: w.transact, Read: w.read}
 }
 
-func (w *world) transact(_ context.Context, t platform.Transaction) ([]fleet.Version, error) {
+func (w *world) transact(_ context.Context, t rowstore.Transaction) ([]fleet.Version, error) {
 	w.pause()
 	fault := "none"
 	if !w.calm {
 		fault = rapid.SampledFrom([]string{"none", "none", "none", "down", "lost before", "lost after", "delayed"}).Draw(w.t, "fault")
 	}
-	lost := &platform.UnavailableError{Op: "transaction", Maybe: fault != "down", Err: errFault}
+	lost := &rowstore.UnavailableError{Op: "transaction", Maybe: fault != "down", Err: errFault}
 	switch fault {
 	case "down", "lost before":
 		return nil, lost
@@ -110,21 +110,21 @@
 	}
 }
 
-func (w *world) commit(t platform.Transaction) ([]fleet.Version, error) {
+func (w *world) commit(t rowstore.Transaction) ([]fleet.Version, error) {
 	return w.store.Table().Transact(context.Background(), t)
 }
 
-func (w *world) read(_ context.Context, q platform.Query) ([]platform.Row, error) {
+func (w *world) read(_ context.Context, q rowstore.Query) ([]rowstore.Row, error) {
 	w.pause()
 	if !w.calm && rapid.IntRange(0, 9).Draw(w.t, "read fault") == 0 {
-		return nil, &platform.UnavailableError{Op: "read", Err: errFault}
+		return nil, &rowstore.UnavailableError{Op: "read", Err: errFault}
 	}
 	rows := w.rows(q)
 	w.pause()
 	return rows, nil
 }
 
-func (w *world) rows(q platform.Query) []platform.Row {
+func (w *world) rows(q rowstore.Query) []rowstore.Row {
 	rows, _ := w.store.Table().Read(context.Background(), q)
 	return rows
 }
--- a/platform/member.go
+++ b/rowstore/member.go
@@ -1,4 +1,4 @@
-package platform
+package rowstore
 
 import (
 	"encoding/json"
@@ -69,7 +69,7 @@
 func decodeMember(r Row) (memberRow, error) {
 	var w wireMember
 	if err := json.Unmarshal(r.Value, &w); err != nil {
-		return memberRow{}, eris.Wrapf(err, "platform: member %s", r.Key)
+		return memberRow{}, eris.Wrapf(err, "rowstore: member %s", r.Key)
 	}
 	return memberRow{
 		Member: Member{
--- a/platform/members.go
+++ b/rowstore/members.go
@@ -1,4 +1,4 @@
-package platform
+package rowstore
 
 import (
 	"context"
@@ -60,7 +60,7 @@
 }
 
 func (e *NotRegisteredError) Error() string {
-	return fmt.Sprintf("platform: member %q is not registered", e.Member)
+	return fmt.Sprintf("rowstore: member %q is not registered", e.Member)
 }
 
 func (m *Members) term() clock.Millis {
@@ -94,7 +94,7 @@
 	for _, r := range rows {
 		if r.Ref == memberListRef {
 			if err := json.Unmarshal(r.Value, &list); err != nil {
-				return eris.Wrap(err, "platform: member list")
+				return eris.Wrap(err, "rowstore: member list")
 			}
 			continue
 		}
@@ -179,7 +179,7 @@
 	m.mu.Unlock()
 	list, err := json.Marshal(wireMemberList{Version: uint64(next)})
 	if err != nil {
-		return eris.Wrap(err, "platform: member list")
+		return eris.Wrap(err, "rowstore: member list")
 	}
 	self := m.Self
 	self.Epoch, self.Acknowledged = next, next
@@ -237,7 +237,7 @@
 		if errors.As(err, &missing) {
 			err = m.registerAmong(ctx)
 		}
-		warn(ctx, m.Log, "platform: member not renewed", err)
+		warn(ctx, m.Log, "rowstore: member not renewed", err)
 	})
 }
 
--- a/platform/members_race_test.go
+++ b/rowstore/members_race_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package rowstore_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 	"citronknot/standin"
 )
 
@@ -20,14 +20,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		const n = 9
 		table := (&standin.Platform{}).Table()
-		slow := &platform.Table{Read: table.Read, Transact: func(ctx context.Context, tx platform.Transaction) ([]fleet.Version, error) {
+		slow := &rowstore.Table{Read: table.Read, Transact: func(ctx context.Context, tx rowstore.Transaction) ([]fleet.Version, error) {
 			time.Sleep(5 * time.Millisecond)
 			return table.Transact(ctx, tx)
 		}}
 		ctx, cancel := context.WithCancel(t.Context())
-		var members []*platform.Members
+		var members []*rowstore.Members
 		for i := range n {
-			m := &platform.Members{Table: slow, Self: platform.Member{ID: fleet.MemberID(fmt.Sprintf("m%d", i)), Zone: "z"}}
+			m := &rowstore.Members{Table: slow, Self: rowstore.Member{ID: fleet.MemberID(fmt.Sprintf("m%d", i)), Zone: "z"}}
 			members = append(members, m)
 			go m.Run(ctx)
 		}
--- a/platform/rebalance.go
+++ b/rowstore/rebalance.go
@@ -1,4 +1,4 @@
-package platform
+package rowstore
 
 import (
 	"context"
@@ -39,7 +39,7 @@
 
 // Run rebalances every 2 s until ctx ends.
 func (e *Escrow) Run(ctx context.Context) {
-	every(ctx, EscrowEvery, func() { warn(ctx, e.Log, "platform: portions not rebalanced", e.Rebalance(ctx)) })
+	every(ctx, EscrowEvery, func() { warn(ctx, e.Log, "rowstore: portions not rebalanced", e.Rebalance(ctx)) })
 }
 
 // Rebalance runs one round: it reads the rows of the teams in use and asks for portions that
@@ -63,7 +63,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return eris.Wrapf(ctx.Err(), "platform: portions not returned: %v", err)
+			return eris.Wrapf(ctx.Err(), "rowstore: portions not returned: %v", err)
 		case <-time.After(returnEvery.Duration()):
 		}
 	}
--- a/platform/snapshot.go
+++ b/rowstore/snapshot.go
@@ -1,4 +1,4 @@
-package platform
+package rowstore
 
 import (
 	"context"
@@ -40,14 +40,14 @@
 		return nil, err
 	}
 	if !ok {
-		return nil, eris.Errorf("platform: snapshot object %q does not exist", w.Object)
+		return nil, eris.Errorf("rowstore: snapshot object %q does not exist", w.Object)
 	}
 	c, err := note.DecodeConfig(text)
 	if err != nil {
 		return nil, err
 	}
 	if uint64(c.Version) != w.Version {
-		return nil, eris.Errorf("platform: snapshot object %q has version %d instead of %d", w.Object, c.Version, w.Version)
+		return nil, eris.Errorf("rowstore: snapshot object %q has version %d instead of %d", w.Object, c.Version, w.Version)
 	}
 	return c, nil
 }
@@ -71,7 +71,7 @@
 	}
 	value, err := json.Marshal(next)
 	if err != nil {
-		return false, eris.Wrap(err, "platform: snapshot")
+		return false, eris.Wrap(err, "rowstore: snapshot")
 	}
 	_, err = s.Table.Transact(ctx, Transaction{
 		Checks: []Check{fence, {Ref: snapshotRef, Version: version}},
@@ -87,7 +87,7 @@
 		return w, 0, err
 	}
 	if err := json.Unmarshal(row.Value, &w); err != nil {
-		return w, 0, eris.Wrap(err, "platform: snapshot")
+		return w, 0, eris.Wrap(err, "rowstore: snapshot")
 	}
 	return w, row.Version, nil
 }
--- a/platform/snapshot_test.go
+++ b/rowstore/snapshot_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package rowstore_test
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"citronknot/fleet"
-	"citronknot/platform"
+	"citronknot/rowstore"
 	"citronknot/standin"
 )
 
@@ -18,9 +18,9 @@
 	ctx := context.Background()
 	server := httptest.NewServer(&standin.Platform{})
 	defer server.Close()
-	client := &platform.Client{URL: server.URL, HTTP: server.Client()}
-	s := &platform.Snapshots{Table: client.Table(), Objects: client.Objects()}
-	fence := platform.Check{Ref: platform.Ref{Table: "leases", Key: "fleet"}}
+	client := &rowstore.Client{URL: server.URL, HTTP: server.Client()}
+	s := &rowstore.Snapshots{Table: client.Table(), Objects: client.Objects()}
+	fence := rowstore.Check{Ref: rowstore.Ref{Table: "leases", Key: "fleet"}}
 	none, err := s.Load(ctx)
 	must.NoError(t, err)
 	must.Nil(t, none)
--- a/platform/wire.go
+++ b/rowstore/wire.go
@@ -1,4 +1,4 @@
-package platform
+package rowstore
 
 import (
 	"encoding/json"
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"citronknot/platform"
+	"citronknot/rowstore"
 )
 
 // Faults are the failures that a platform can be told to show.
@@ -32,10 +32,10 @@
 // Platform is a stand-in for the platform. The zero value is ready to use.
 type Platform struct {
 	mu        sync.Mutex
-	rows      map[platform.WireRef]platform.WireRow
+	rows      map[rowstore.WireRef]rowstore.WireRow
 	last      uint64
 	objects   map[string][]byte
-	instances map[string]platform.WireInstance
+	instances map[string]rowstore.WireInstance
 	changes   []change // of instances, not in the list yet
 	faults    Faults
 	commits   int64
@@ -61,11 +61,11 @@
 // change is a change of an instance and when it happened.
 type change struct {
 	at time.Time
-	in platform.WireInstance
+	in rowstore.WireInstance
 }
 
 // SetInstance changes the state of an instance in the list; an empty state removes it.
-func (p *Platform) SetInstance(in platform.WireInstance) {
+func (p *Platform) SetInstance(in rowstore.WireInstance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.changes = append(p.changes, change{time.Now(), in})
@@ -74,7 +74,7 @@
 // publish takes the changes that are older than the lag into the list. p is locked.
 func (p *Platform) publish() {
 	if p.instances == nil {
-		p.instances = map[string]platform.WireInstance{}
+		p.instances = map[string]rowstore.WireInstance{}
 	}
 	lag := time.Duration(p.faults.FreezeMS) * time.Millisecond
 	for len(p.changes) > 0 && time.Since(p.changes[0].at) >= lag {
@@ -128,15 +128,15 @@
 }
 
 // Commit applies t if its checks hold.
-func (p *Platform) Commit(t platform.WireTransaction) (platform.WireCommit, int) {
+func (p *Platform) Commit(t rowstore.WireTransaction) (rowstore.WireCommit, int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out platform.WireCommit
-	if len(t.Writes) > platform.MaxRows {
+	var out rowstore.WireCommit
+	if len(t.Writes) > rowstore.MaxRows {
 		return out, http.StatusRequestEntityTooLarge
 	}
 	for _, c := range t.Checks {
-		ref := platform.WireRef{Table: c.Table, Key: c.Key}
+		ref := rowstore.WireRef{Table: c.Table, Key: c.Key}
 		if p.rows[ref].Version != c.Version {
 			out.Conflicts = append(out.Conflicts, ref)
 		}
@@ -146,17 +146,17 @@
 		return out, http.StatusConflict
 	}
 	if p.rows == nil {
-		p.rows = map[platform.WireRef]platform.WireRow{}
+		p.rows = map[rowstore.WireRef]rowstore.WireRow{}
 	}
 	for _, w := range t.Writes {
 		// Versions never repeat, so that a row that was deleted and made anew is not
 		// mistaken for the old one.
 		p.last++
-		ref := platform.WireRef{Table: w.Table, Key: w.Key}
+		ref := rowstore.WireRef{Table: w.Table, Key: w.Key}
 		if w.Delete {
 			delete(p.rows, ref)
 		} else {
-			p.rows[ref] = platform.WireRow{Table: w.Table, Key: w.Key, Version: p.last, Value: w.Value}
+			p.rows[ref] = rowstore.WireRow{Table: w.Table, Key: w.Key, Version: p.last, Value: w.Value}
 		}
 		out.Versions = append(out.Versions, p.last)
 	}
@@ -166,18 +166,18 @@
 }
 
 // Query returns the rows that q asks for.
-func (p *Platform) Query(q platform.WireQuery) platform.WireRows {
+func (p *Platform) Query(q rowstore.WireQuery) rowstore.WireRows {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.Reads.Add(1)
-	out := platform.WireRows{Rows: []platform.WireRow{}}
+	out := rowstore.WireRows{Rows: []rowstore.WireRow{}}
 	for _, g := range q.Gets {
 		if r, ok := p.rows[g]; ok {
 			out.Rows = append(out.Rows, r)
 		}
 	}
 	for _, s := range q.Scans {
-		var found []platform.WireRow
+		var found []rowstore.WireRow
 		for ref, r := range p.rows {
 			if ref.Table == s.Table && strings.HasPrefix(ref.Key, s.Prefix) {
 				found = append(found, r)
@@ -203,7 +203,7 @@
 		p.serveCounters(w)
 		return
 	case "/instances":
-		var in platform.WireInstance
+		var in rowstore.WireInstance
 		if decode(w, r, &in) {
 			p.SetInstance(in)
 		}
@@ -231,7 +231,7 @@
 		case <-r.Context().Done():
 		}
 	}
-	zone := r.Header.Get(platform.ZoneHeader)
+	zone := r.Header.Get(rowstore.ZoneHeader)
 	for _, z := range f.CutZones {
 		if z == zone {
 			panic(http.ErrAbortHandler)
@@ -243,7 +243,7 @@
 func (p *Platform) serve(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.URL.Path == "/v1/transactions":
-		var t platform.WireTransaction
+		var t rowstore.WireTransaction
 		if !decode(w, r, &t) {
 			return
 		}
@@ -260,7 +260,7 @@
 		}
 		answer(w, status, out)
 	case r.URL.Path == "/v1/reads":
-		var q platform.WireQuery
+		var q rowstore.WireQuery
 		if decode(w, r, &q) {
 			answer(w, http.StatusOK, p.Query(q))
 		}
@@ -295,11 +295,11 @@
 	answer(w, http.StatusOK, list)
 }
 
-func (p *Platform) list() platform.WireInstances {
+func (p *Platform) list() rowstore.WireInstances {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.publish()
-	out := platform.WireInstances{Instances: []platform.WireInstance{}}
+	out := rowstore.WireInstances{Instances: []rowstore.WireInstance{}}
 	for _, in := range p.instances {
 		out.Instances = append(out.Instances, in)
 	}
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"citronknot/platform"
+	"citronknot/rowstore"
 	"citronknot/standin"
 )
 
@@ -62,7 +62,7 @@
 		must.Eq(t, 4, p.Writes.Load())
 
 		p.SetFaults(standin.Faults{FreezeMS: 2000})
-		p.SetInstance(platform.WireInstance{ID: "i", State: "live"})
+		p.SetInstance(rowstore.WireInstance{ID: "i", State: "live"})
 		_, text := call(p, "/v1/instances", "")
 		must.StrNotContains(t, text, "live")
 		time.Sleep(2 * time.Second)
--- a/terminal/app_test.go
+++ b/terminal/app_test.go
@@ -18,7 +18,7 @@
 	"citronknot/fleet"
 	"citronknot/operator"
 	"citronknot/peer"
-	"citronknot/platform"
+	"citronknot/rowstore"
 	"citronknot/standin"
 	"citronknot/terminal"
 )
@@ -40,7 +40,7 @@
 	c := &cli{t: t, platform: &standin.Platform{}}
 	store := httptest.NewServer(c.platform)
 	t.Cleanup(store.Close)
-	l := &platform.ConfigLog{Table: (&platform.Client{URL: store.URL}).Table()}
+	l := &rowstore.ConfigLog{Table: (&rowstore.Client{URL: store.URL}).Table()}
 	current := &fleet.Current{}
 	log := slog.New(slog.DiscardHandler)
 	f := &peer.Follower{Log: l, Current: current, Logger: log}
