--- a/fleet/ids.go
+++ b/fleet/ids.go
@@ -16,6 +16,8 @@
 	InstanceID string
 	// ZoneID names an availability zone.
 	ZoneID string
+	// RegionID names a region, a set of zones.
+	RegionID string
 	// RackID names a rack within a zone.
 	RackID string
 	// MemberID names an entry instance registered in the table service.
--- /dev/null
+++ b/job/check.go
@@ -0,0 +1,99 @@
+package job
+
+import (
+	"fmt"
+
+	"citronknot/clock"
+)
+
+// Bounds of a submission. They keep one job within a transaction of the row store and within
+// what an owner can hold in memory.
+const (
+	MaxSpec        = 4000    // bytes
+	MaxSteps       = 64      // steps of a job
+	MaxTasks       = 10000   // tasks of one occurrence
+	MaxOccurrences = 10000   // occurrences of a timed job
+	maxResource    = 1 << 40 // of any dimension of a task's needs
+	maxMillis      = clock.Millis(365 * 24 * 3600 * 1000)
+	idLength       = 16
+)
+
+// Check reports the first field of j that is not accepted, as a *FieldError.
+func (j *Job) Check() error {
+	if !ValidID(j.ID) {
+		return field("id", j.ID, "16 hexadecimal digits")
+	}
+	if len(j.Spec) > MaxSpec {
+		return field("spec", fmt.Sprintf("%d bytes", len(j.Spec)), fmt.Sprintf("at most %d bytes", MaxSpec))
+	}
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return field("steps", len(j.Steps), fmt.Sprintf("1 to %d steps", MaxSteps))
+	}
+	if err := ranged("runs", int64(j.Runs), 0, MaxOccurrences); err != nil {
+		return err
+	}
+	if err := ranged("interval", int64(j.Interval), 0, int64(maxMillis)); err != nil {
+		return err
+	}
+	for i := range j.Steps {
+		if err := j.Steps[i].check(i); err != nil {
+			return err
+		}
+	}
+	if n := j.Tasks(); n > MaxTasks {
+		return field("steps", n, fmt.Sprintf("at most %d tasks", MaxTasks))
+	}
+	return nil
+}
+
+// ValidID reports whether id has 16 hexadecimal digits.
+func ValidID(id ID) bool {
+	if len(id) != idLength {
+		return false
+	}
+	for _, c := range []byte(id) {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Step) check(i int) error {
+	at := func(name string) string { return fmt.Sprintf("steps[%d].%s", i, name) }
+	for _, r := range []struct {
+		name     string
+		value    int64
+		min, max int64
+	}{
+		{"count", int64(s.Count), 1, MaxTasks},
+		{"cpu", s.Needs.CPU, 0, maxResource},
+		{"memory", s.Needs.Memory, 0, maxResource},
+		{"gpu", s.Needs.GPU, 0, maxResource},
+		{"estimate", int64(s.Estimate), 0, int64(maxMillis)},
+		{"max_per_worker", int64(s.MaxPerWorker), 0, MaxTasks},
+		{"may_miss", int64(s.MayMiss), 0, MaxTasks},
+		{"tail_target", int64(s.TailTarget), 0, int64(maxMillis)},
+	} {
+		if err := ranged(at(r.name), r.value, r.min, r.max); err != nil {
+			return err
+		}
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= i {
+			return field(at("after"), a, "numbers of earlier steps")
+		}
+	}
+	return nil
+}
+
+func ranged(name string, value, low, high int64) error {
+	if value < low || value > high {
+		return field(name, value, fmt.Sprintf("%d to %d", low, high))
+	}
+	return nil
+}
+
+func field(name string, value any, accepted string) error {
+	return &FieldError{Field: name, Value: fmt.Sprint(value), Accepted: accepted}
+}
--- /dev/null
+++ b/job/codec.go
@@ -0,0 +1,185 @@
+package job
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"citronknot/clock"
+	"citronknot/fleet"
+)
+
+// wireStep is a step as it is kept. Fields of the value 0 are left out, since bytes are paid for.
+type wireStep struct {
+	Count       int    `json:"count"`
+	CPU         int64  `json:"cpu,omitempty"`
+	Memory      int64  `json:"memory_mb,omitempty"`
+	GPU         int64  `json:"gpu,omitempty"`
+	Estimate    int64  `json:"estimate_ms,omitempty"`
+	After       []int  `json:"after,omitempty"`
+	Checkpoint  bool   `json:"checkpoint,omitempty"`
+	Gang        bool   `json:"gang,omitempty"`
+	SameRack    bool   `json:"same_rack,omitempty"`
+	Speculative bool   `json:"speculative,omitempty"`
+	LongRunning bool   `json:"long_running,omitempty"`
+	Fills       bool   `json:"fills,omitempty"`
+	Label       string `json:"label,omitempty"`
+	DataRack    string `json:"data_rack,omitempty"`
+	MaxPer      int    `json:"max_per_worker,omitempty"`
+	Image       string `json:"image,omitempty"`
+	TailTarget  int64  `json:"tail_target_ms,omitempty"`
+	MayMiss     int    `json:"may_miss,omitempty"`
+}
+
+type wireJob struct {
+	ID       string     `json:"id"`
+	Queue    string     `json:"queue"`
+	Team     string     `json:"team,omitempty"`
+	Spec     string     `json:"spec,omitempty"`
+	Steps    []wireStep `json:"steps"`
+	Runs     int        `json:"runs,omitempty"`
+	First    int64      `json:"first_ms,omitempty"`
+	Interval int64      `json:"interval_ms,omitempty"`
+	Accepted int64      `json:"accepted_ms,omitempty"`
+}
+
+type wireProgress struct {
+	State    string         `json:"state,omitempty"`
+	Finished int64          `json:"finished_ms,omitempty"`
+	Done     []string       `json:"done,omitempty"` // occurrence.step.first-last
+	Failures map[string]int `json:"failures,omitempty"`
+}
+
+// Encode returns j as it is kept and sent between members.
+func (j *Job) Encode() ([]byte, error) {
+	w := wireJob{
+		ID: string(j.ID), Queue: string(j.Queue), Team: string(j.Team), Spec: j.Spec, Runs: j.Runs,
+		First: int64(j.First), Interval: int64(j.Interval), Accepted: int64(j.Accepted),
+	}
+	for i := range j.Steps {
+		w.Steps = append(w.Steps, encodeStep(&j.Steps[i]))
+	}
+	text, err := json.Marshal(w)
+	return text, eris.Wrap(err, "job: encode")
+}
+
+func encodeStep(s *Step) wireStep {
+	return wireStep{
+		Count: s.Count, CPU: s.Needs.CPU, Memory: s.Needs.Memory, GPU: s.Needs.GPU, Estimate: int64(s.Estimate),
+		After: s.After, Checkpoint: s.Checkpoint, Gang: s.Gang, SameRack: s.SameRack, Speculative: s.Speculative,
+		LongRunning: s.LongRunning, Fills: s.Fills, Label: s.Label, DataRack: string(s.DataRack), MaxPer: s.MaxPerWorker,
+		Image: s.Image, TailTarget: int64(s.TailTarget), MayMiss: s.MayMiss,
+	}
+}
+
+// Decode reads a job and checks it.
+func Decode(text []byte) (*Job, error) {
+	var w wireJob
+	if err := json.Unmarshal(text, &w); err != nil {
+		return nil, eris.Wrap(err, "job: decode")
+	}
+	j := &Job{
+		ID: ID(w.ID), Queue: fleet.QueueID(w.Queue), Team: fleet.TeamID(w.Team), Spec: w.Spec, Runs: w.Runs,
+		First: clock.Millis(w.First), Interval: clock.Millis(w.Interval), Accepted: clock.Millis(w.Accepted),
+	}
+	for _, s := range w.Steps {
+		j.Steps = append(j.Steps, decodeStep(s))
+	}
+	if err := j.Check(); err != nil {
+		return nil, err
+	}
+	return j, nil
+}
+
+func decodeStep(s wireStep) Step {
+	return Step{
+		Count: s.Count, Needs: Resources{CPU: s.CPU, Memory: s.Memory, GPU: s.GPU}, Estimate: clock.Millis(s.Estimate),
+		After: s.After, Checkpoint: s.Checkpoint, Gang: s.Gang, SameRack: s.SameRack, Speculative: s.Speculative,
+		LongRunning: s.LongRunning, Fills: s.Fills, Label: s.Label, DataRack: fleet.RackID(s.DataRack), MaxPerWorker: s.MaxPer,
+		Image: s.Image, TailTarget: clock.Millis(s.TailTarget), MayMiss: s.MayMiss,
+	}
+}
+
+// Encode returns p as it is kept. Done tasks are kept as ranges of indexes.
+func (p *Progress) Encode() ([]byte, error) {
+	w := wireProgress{State: string(p.State), Finished: int64(p.Finished)}
+	if !p.State.Final() {
+		w.Done = encodeDone(p.Done)
+		for at, n := range p.Failures {
+			if w.Failures == nil {
+				w.Failures = map[string]int{}
+			}
+			w.Failures[fmt.Sprintf("%d.%d.%d", at.Occurrence, at.Step, at.Index)] = n
+		}
+	}
+	text, err := json.Marshal(w)
+	return text, eris.Wrap(err, "job: encode progress")
+}
+
+func encodeDone(done map[Position]bool) []string {
+	all := make([]Position, 0, len(done))
+	for at := range done {
+		all = append(all, at)
+	}
+	slices.SortFunc(all, comparePositions)
+	var out []string
+	for i := 0; i < len(all); {
+		k := i + 1
+		for k < len(all) && all[k].Occurrence == all[i].Occurrence && all[k].Step == all[i].Step && all[k].Index == all[k-1].Index+1 {
+			k++
+		}
+		out = append(out, fmt.Sprintf("%d.%d.%d-%d", all[i].Occurrence, all[i].Step, all[i].Index, all[k-1].Index))
+		i = k
+	}
+	return out
+}
+
+func comparePositions(a, b Position) int {
+	if a.Occurrence != b.Occurrence {
+		return a.Occurrence - b.Occurrence
+	}
+	if a.Step != b.Step {
+		return a.Step - b.Step
+	}
+	return a.Index - b.Index
+}
+
+// DecodeProgress reads what [Progress.Encode] wrote.
+func DecodeProgress(text []byte) (*Progress, error) {
+	var w wireProgress
+	if err := json.Unmarshal(text, &w); err != nil {
+		return nil, eris.Wrap(err, "job: decode progress")
+	}
+	p := &Progress{State: State(w.State), Finished: clock.Millis(w.Finished), Done: map[Position]bool{}, Failures: map[Position]int{}}
+	for _, d := range w.Done {
+		head, last, ok := strings.Cut(d, "-")
+		at, err := decodePosition(head)
+		end, err2 := strconv.Atoi(last)
+		if !ok || err != nil || err2 != nil || end-at.Index > MaxTasks {
+			return nil, field("done", d, "OCCURRENCE.STEP.FIRST-LAST")
+		}
+		for ; at.Index <= end; at.Index++ {
+			p.Done[at] = true
+		}
+	}
+	for text, n := range w.Failures {
+		at, err := decodePosition(text)
+		if err != nil {
+			return nil, err
+		}
+		p.Failures[at] = n
+	}
+	return p, nil
+}
+
+func decodePosition(text string) (Position, error) {
+	var at Position
+	if n, err := fmt.Sscanf(text, "%d.%d.%d", &at.Occurrence, &at.Step, &at.Index); err != nil || n != 3 {
+		return at, field("position", text, "OCCURRENCE.STEP.INDEX")
+	}
+	return at, nil
+}
