--- a/rowstore/errors.go
+++ b/rowstore/errors.go
@@ -1,10 +1,16 @@
 package rowstore
 
-import "fmt"
+import (
+	"fmt"
+
+	"citronknot/fleet"
+)
 
 // ConflictError reports the rows whose check failed. Nothing was written.
 type ConflictError struct {
 	Rows []Ref
+	// Current holds the present rows of the checks, where the service tells them.
+	Current []Row
 }
 
 func (e *ConflictError) Error() string {
@@ -26,3 +32,32 @@
 }
 
 func (e *UnavailableError) Unwrap() error { return e.Err }
+
+// CompactedError reports that the requested history is no longer kept: the table has to be
+// read as a whole.
+type CompactedError struct {
+	Table string
+}
+
+func (e *CompactedError) Error() string {
+	return fmt.Sprintf("rowstore: the history of table %s is no longer kept", e.Table)
+}
+
+// DeposedError reports that another member holds the part.
+type DeposedError struct {
+	Part   string
+	Holder fleet.MemberID // empty if it is not known
+}
+
+func (e *DeposedError) Error() string {
+	return fmt.Sprintf("rowstore: part %s is held by %q", e.Part, e.Holder)
+}
+
+// ExpiredError reports that a tenure could not be renewed in time.
+type ExpiredError struct {
+	Part string
+}
+
+func (e *ExpiredError) Error() string {
+	return fmt.Sprintf("rowstore: the tenure of part %s was not renewed in time", e.Part)
+}
--- a/rowstore/table.go
+++ b/rowstore/table.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 
+	"citronknot/clock"
 	"citronknot/fleet"
 )
 
 // Ref names a row.
 type Ref struct {
 	Table string
+	Part  string // rows of one part change together at the least cost; may be empty
 	Key   string
 }
 
@@ -37,6 +39,7 @@
 // Scan asks for all rows of a table whose keys begin with a prefix.
 type Scan struct {
 	Table  string
+	Part   string
 	Prefix string
 }
 
@@ -60,6 +63,20 @@
 	Transact func(ctx context.Context, t Transaction) ([]fleet.Version, error)
 	// Read returns the rows that exist. It fails with *UnavailableError.
 	Read func(ctx context.Context, q Query) ([]Row, error)
+	// Parts returns the parts of a table that have rows, and the newest version. It is nil
+	// where the service has no parts.
+	Parts func(ctx context.Context, table string) (parts []string, newest fleet.Version, err error)
+	// Feed returns the rows of a table that changed after a version, and the version to go on
+	// from. It waits for a change for at most wait. It fails with *CompactedError if that part
+	// of the history is gone. It is nil where the service has no feed.
+	Feed func(ctx context.Context, table string, after fleet.Version, wait clock.Millis) (FeedPage, error)
+}
+
+// FeedPage holds the rows of a table that changed.
+type FeedPage struct {
+	Rows   []Row
+	Gone   []Ref
+	Newest fleet.Version
 }
 
 // Get returns one row; ok is false if it does not exist.
