--- /dev/null
+++ b/cmd/citronknotd/hosted.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"citronknot/hosted"
+	"citronknot/platform"
+)
+
+// hostedSettings are the own settings of a process on the users' platform. What the platform
+// decides is in the file that it writes.
+type hostedSettings struct {
+	File     string `long:"settings-file" env:"CITRONKNOT_NODE_FILE" required:"true" description:"file that the platform writes from deploy/settings.json"`
+	LogLevel string `long:"log-level" env:"CITRONKNOT_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of the log"`
+}
+
+// runHosted runs the process on the users' platform and returns the exit code.
+func runHosted(args []string) int {
+	var s hostedSettings
+	if _, err := flags.ParseArgs(&s, args); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			return 0
+		}
+		return 2
+	}
+	settings, err := platform.ReadSettings(s.File)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	out := hosted.NewLogWriter(os.Stdout)
+	defer out.Close()
+	log := hosted.NewLogger(out, level)
+	p := hosted.New(hosted.Config{Settings: settings, Log: log, Dropped: out.Dropped})
+	if err := p.Start(); err != nil {
+		log.Error("hosted: start failed", "err", err)
+		return 1
+	}
+	waitHosted(p, s.File, settings, log)
+	return 0
+}
+
+// waitHosted dumps the state on SIGUSR1, reads the settings again on SIGHUP, and stops on
+// SIGTERM or SIGINT.
+func waitHosted(p *hosted.Process, file string, settings *platform.Settings, log *slog.Logger) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	for sig := range signals {
+		switch sig {
+		case syscall.SIGUSR1:
+			if err := json.NewEncoder(os.Stderr).Encode(p.Dump()); err != nil {
+				log.Warn("hosted: dump not written", "err", err)
+			}
+		case syscall.SIGHUP:
+			reload(p, file, settings, log)
+		default:
+			p.Shutdown()
+			return
+		}
+	}
+}
+
+// reload reads the settings again. Addresses take effect at the next start.
+func reload(p *hosted.Process, file string, old *platform.Settings, log *slog.Logger) {
+	next, err := platform.ReadSettings(file)
+	if err != nil {
+		log.Error("hosted: settings not reloaded; the former ones stay in force", "err", err)
+		return
+	}
+	p.Reload(next)
+	log.Info("hosted: settings reloaded", "changed", *next != *old)
+}
--- a/cmd/citronknotd/main.go
+++ b/cmd/citronknotd/main.go
@@ -22,6 +22,9 @@
 
 // run returns the exit code: 0 after a planned stop, 1 on failure, 2 on invalid settings.
 func run() int {
+	if len(os.Args) > 1 && os.Args[1] == "hosted" {
+		return runHosted(os.Args[2:])
+	}
 	var s entry.Settings
 	if _, err := flags.Parse(&s); err != nil {
 		var fe *flags.Error
