--- a/job/progress.go
+++ b/job/progress.go
@@ -30,7 +30,7 @@
 
 // Progress is the durable part of what is known of a job's tasks. It holds each end that the
 // workers are told to forget: a task whose done end was acknowledged must never start again,
-// and each acknowledged failure counts against the attempts.
+// and each acknowledged failure counts against the attempts. The zero value is that of a new job.
 type Progress struct {
 	State    State
 	Finished clock.Millis // wall time at which a final state was reached
@@ -38,6 +38,23 @@
 	Failures map[Position]int
 }
 
+// MarkDone notes that a task is done.
+func (p *Progress) MarkDone(at Position) {
+	if p.Done == nil {
+		p.Done = map[Position]bool{}
+	}
+	p.Done[at] = true
+}
+
+// AddFailure counts one more failure of a task and returns their number.
+func (p *Progress) AddFailure(at Position) int {
+	if p.Failures == nil {
+		p.Failures = map[Position]int{}
+	}
+	p.Failures[at]++
+	return p.Failures[at]
+}
+
 // Clone returns a deep copy.
 func (p *Progress) Clone() Progress {
 	return Progress{State: p.State, Finished: p.Finished, Done: maps.Clone(p.Done), Failures: maps.Clone(p.Failures)}
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -252,7 +252,7 @@
 	delete(p.starts, t)
 	t.enter(done, now)
 	t.step.done++
-	t.step.job.progress.Done[t.position()] = true
+	t.step.job.progress.MarkDone(t.position())
 }
 
 func (p *Pool) stepDone(j *Job, s *stepRun, now clock.Millis) {
@@ -302,11 +302,11 @@
 	if s.spec.Gang {
 		at.Index = 0
 	}
-	j.progress.Failures[at]++
+	failures := j.progress.AddFailure(at)
 	p.touch(j)
 	switch {
 	case j.state.Final():
-	case j.progress.Failures[at] >= j.attempts():
+	case failures >= j.attempts():
 		if t.state == waiting {
 			s.waiting--
 		}
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -73,7 +73,6 @@
 	}
 	s := &Job{Job: j, terms: terms, state: job.Queued, shown: job.Queued, arrived: now - age, chain: j.Chain()}
 	s.objective = s.arrived + clock.Millis(terms.Stretch*float64(s.chain)) + terms.Slack
-	s.progress = job.Progress{Done: map[job.Position]bool{}, Failures: map[job.Position]int{}}
 	if progress != nil {
 		s.progress, s.recovered = progress.Clone(), true
 		if progress.State != "" {
