Run waves of upkeep, and divide teams' limits over the pools

The member that holds the tenure of the fleet now reads machines and pool reports, has workers emptied, and orders upkeeps within the wave's bound; pools that do not miss a machine give theirs first. The same reports carry the use of teams' limits; a ledger grants allowances whose sum stays within the limit when answers are lost and owners change.

--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -9,6 +9,7 @@
 	"citronknot/job"
 	"citronknot/owner"
 	"citronknot/platform"
+	"citronknot/quota"
 	"citronknot/rowstore"
 	"citronknot/schedule"
 )
@@ -48,6 +49,7 @@
 // operatorRow takes in a row that an operator wrote.
 func (p *Process) operatorRow(r rowstore.Row) {
 	if r.Key != platform.ConfigKey {
+		p.waveRow(r)
 		return
 	}
 	c, err := platform.DecodeCatalog(r.Value)
@@ -65,6 +67,21 @@
 		"queues", len(c.Queues), "pools", len(c.Pools), "teams", len(c.Teams), "keys", len(c.Keys))
 }
 
+// waveRow takes in a wave that an operator wrote.
+func (p *Process) waveRow(r rowstore.Row) {
+	w, ok, err := platform.DecodeWave(r)
+	if err != nil {
+		p.Log.Error("hosted: wave skipped", "key", r.Key, "row_version", uint64(r.Version), "err", err)
+	}
+	if !ok {
+		return
+	}
+	p.mu.Lock()
+	p.waves[w.Number] = seenWave{Wave: w, at: p.Clock.Now()}
+	p.mu.Unlock()
+	p.Log.Info("hosted: wave of upkeep asked for", "wave", w.Number, "machines", len(w.Machines), "most_down", w.Most, "duration_ms", int64(w.Duration))
+}
+
 // remember keeps the pools that a queue had before: their jobs stay there.
 func (p *Process) remember(old, next *job.Catalog) {
 	if old == nil {
@@ -116,6 +133,16 @@
 	return t
 }
 
+// limited reports whether a team has a limit.
+func (p *Process) limited(team fleet.TeamID) bool {
+	c := p.catalog.Load()
+	if c == nil || c.Teams[team] == nil {
+		return false
+	}
+	_, limited := quota.Limit(c.Teams[team].Cap)
+	return limited
+}
+
 // interrupted restarts the watch over silent owners, since they may be cut off as well.
 func (p *Process) interrupted() {
 	p.mu.Lock()
@@ -198,10 +225,13 @@
 	if c == nil {
 		return
 	}
+	ids := []fleet.PoolID{fleetPart}
 	for id, pool := range c.Pools { // in random order
-		if pool.Spare {
-			continue
+		if !pool.Spare {
+			ids = append(ids, id)
 		}
+	}
+	for _, id := range ids {
 		t := p.tenure(id)
 		if err := t.Observe(rowstore.Row{}); err != nil { // no row: nobody ever held the pool
 			p.Log.Error("hosted: tenure skipped", "pool", id, "err", err)
@@ -215,7 +245,10 @@
 			p.Log.Warn("hosted: claim failed", "pool", id, "err", err)
 			continue
 		}
-		if ok {
+		switch {
+		case ok && id == fleetPart:
+			p.holdFleet(t)
+		case ok:
 			p.own(id, t, released)
 		}
 	}
@@ -225,7 +258,7 @@
 func (p *Process) mayClaim(id fleet.PoolID, vacant bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !vacant || p.owners[id] != nil {
+	if !vacant || p.owners[id] != nil || (id == fleetPart && p.holder != nil) {
 		delete(p.vacant, id)
 		return false
 	}
@@ -235,14 +268,18 @@
 		since = now
 		p.vacant[id] = now
 	}
-	return now-since >= clock.Millis(len(p.owners))*claimStep
+	have := len(p.owners)
+	if p.holder != nil {
+		have++
+	}
+	return now-since >= clock.Millis(have)*claimStep
 }
 
 // own runs a pool whose tenure this member has just claimed.
 func (p *Process) own(id fleet.PoolID, t *rowstore.Tenure, released bool) {
 	o := owner.New(owner.Config{
 		Pool: id, Tenure: t, Released: released, Table: p.table, Calls: p.calls, Clock: p.Clock, Log: p.Log,
-		Metrics: p.metrics.owner, FarFactor: p.Settings.FarFactor, KeepFinal: p.Settings.KeepFinal, Terms: p.terms,
+		Metrics: p.metrics.owner, FarFactor: p.Settings.FarFactor, KeepFinal: p.Settings.KeepFinal, Terms: p.terms, Limited: p.limited,
 	})
 	ctx, cancel := context.WithCancel(p.ctx)
 	own := &owned{owner: o, cancel: cancel, done: make(chan struct{})}
--- a/hosted/members.go
+++ b/hosted/members.go
@@ -41,6 +41,7 @@
 	mux.HandleFunc("GET /v1/pools/{pool}/jobs/{id}", p.serveOwner(p.serveState))
 	mux.HandleFunc("DELETE /v1/pools/{pool}/jobs/{id}", p.serveOwner(p.serveCancel))
 	mux.HandleFunc("GET /v1/pools/{pool}/queues/{queue}/pending", p.serveOwner(p.servePending))
+	mux.HandleFunc("POST /v1/fleet/report", p.serveReport)
 	return mux
 }
 
@@ -149,16 +150,23 @@
 	return r.Count, err
 }
 
-// call makes one call. It fails with *owner.RefusedError if the call certainly had no effect,
-// and with *owner.UnknownError otherwise.
+// call makes one call on a pool.
 func (m *memberClient) call(ctx context.Context, method, url string, body []byte) (wireResult, error) {
+	var r wireResult
+	err := m.callInto(ctx, method, url, body, &r)
+	return r, err
+}
+
+// callInto makes one call and decodes the answer to out. It fails with *owner.RefusedError if
+// the call certainly had no effect, and with *owner.UnknownError otherwise.
+func (m *memberClient) callInto(ctx context.Context, method, url string, body []byte, out any) error {
 	var sent atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
 	})
 	req, err := http.NewRequestWithContext(traced, method, url, bytes.NewReader(body))
 	if err != nil {
-		return wireResult{}, eris.Wrap(err, "hosted: request")
+		return eris.Wrap(err, "hosted: request")
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		req.Header.Set(deadlineHeader, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
@@ -166,23 +174,28 @@
 	resp, err := m.http.Do(req)
 	if err != nil {
 		if !sent.Load() {
-			return wireResult{}, &owner.RefusedError{Reason: "the owner can't be reached", RetryAfter: 1000}
+			return &owner.RefusedError{Reason: "the member can't be reached", RetryAfter: 1000}
 		}
-		return wireResult{}, &owner.UnknownError{Err: eris.Wrap(err, "hosted: call")}
+		return &owner.UnknownError{Err: eris.Wrap(err, "hosted: call")}
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxJobBytes))
+	if err != nil {
+		return &owner.UnknownError{Err: eris.Wrap(err, "hosted: answer")}
+	}
+	if resp.StatusCode == http.StatusOK {
+		if err := json.Unmarshal(text, out); err != nil {
+			return &owner.UnknownError{Err: eris.Wrap(err, "hosted: answer")}
+		}
+		return nil
+	}
 	var r wireResult
-	if err == nil {
-		err = json.Unmarshal(text, &r)
+	if err := json.Unmarshal(text, &r); err != nil {
+		return &owner.UnknownError{Err: eris.Wrap(err, "hosted: answer")}
 	}
-	switch {
-	case err != nil:
-		return wireResult{}, &owner.UnknownError{Err: eris.Wrap(err, "hosted: answer")}
-	case resp.StatusCode == http.StatusOK:
-		return r, nil
-	case resp.StatusCode == http.StatusServiceUnavailable, resp.StatusCode == http.StatusMisdirectedRequest:
-		return wireResult{}, &owner.RefusedError{Reason: r.Reason, Final: r.Final, RetryAfter: clock.Millis(r.RetryAfter)}
+	switch resp.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusMisdirectedRequest:
+		return &owner.RefusedError{Reason: r.Reason, Final: r.Final, RetryAfter: clock.Millis(r.RetryAfter)}
 	}
-	return wireResult{}, &owner.UnknownError{Err: eris.Errorf("hosted: status %d: %s", resp.StatusCode, r.Reason)}
+	return &owner.UnknownError{Err: eris.Errorf("hosted: status %d: %s", resp.StatusCode, r.Reason)}
 }
--- a/hosted/metrics.go
+++ b/hosted/metrics.go
@@ -12,6 +12,7 @@
 	callTime prometheus.Histogram
 	owner    *owner.Metrics
 	dropped  prometheus.CounterFunc
+	machines *prometheus.CounterVec
 }
 
 func newMetrics(dropped func() int64) *metrics {
@@ -26,6 +27,9 @@
 			Name: "citronknot_call_seconds", Help: "Time until a call was answered.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 13),
 		}),
 		owner: owner.NewMetrics(),
+		machines: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "citronknot_machine_orders_total", Help: "Orders to machines by order and answer.",
+		}, []string{"order", "answer"}),
 		dropped: prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "citronknot_log_lines_dropped_total", Help: "Log lines that were dropped because writing was too slow.",
 		}, func() float64 { return float64(dropped()) }),
@@ -33,5 +37,5 @@
 }
 
 func (m *metrics) collectors() []prometheus.Collector {
-	return append(m.owner.Collectors(), m.calls, m.callTime, m.dropped, collectors.NewGoCollector())
+	return append(m.owner.Collectors(), m.calls, m.callTime, m.dropped, m.machines, collectors.NewGoCollector())
 }
--- a/hosted/process.go
+++ b/hosted/process.go
@@ -19,6 +19,7 @@
 	"citronknot/clock"
 	"citronknot/fleet"
 	"citronknot/job"
+	"citronknot/machine"
 	"citronknot/owner"
 	"citronknot/platform"
 	"citronknot/rowstore"
@@ -34,9 +35,10 @@
 
 	// Connections to one worker: a look and the orders that overlap with it. To one member:
 	// the calls of clients at the same time.
-	workerConns = 6
-	memberConns = 32
-	storeConns  = 16
+	workerConns  = 6
+	memberConns  = 32
+	storeConns   = 16
+	machineConns = 8
 
 	// memoryShare is the part of the memory limit that the collector keeps the heap under.
 	memoryShare = 0.6
@@ -53,12 +55,14 @@
 // Process is one member on the platform.
 type Process struct {
 	Config
-	table   *rowstore.Table
-	calls   worker.Calls
-	members *memberClient
-	metrics *metrics
-	catalog atomic.Pointer[job.Catalog]
-	closing atomic.Bool
+	table        *rowstore.Table
+	calls        worker.Calls
+	members      *memberClient
+	machines     machine.Calls // none where the platform has no service for machines
+	machinesSeen dependency
+	metrics      *metrics
+	catalog      atomic.Pointer[job.Catalog]
+	closing      atomic.Bool
 
 	mu       sync.Mutex
 	tenures  map[fleet.PoolID]*rowstore.Tenure
@@ -67,6 +71,8 @@
 	formerly map[fleet.QueueID][]fleet.PoolID
 	workers  map[fleet.InstanceID]*platform.Registration
 	scanned  bool // the list of workers was read
+	waves    map[int]seenWave
+	holder   *fleetHolder // nil if this member does not hold the fleet
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -89,8 +95,12 @@
 		Config: c, table: store.Table(), calls: platform.NewWorkers(platform.NewHTTPClient(workerConns)).Calls(),
 		members: &memberClient{http: platform.NewHTTPClient(memberConns)}, metrics: newMetrics(c.Dropped),
 		tenures: map[fleet.PoolID]*rowstore.Tenure{}, owners: map[fleet.PoolID]*owned{}, vacant: map[fleet.PoolID]clock.Millis{},
-		formerly: map[fleet.QueueID][]fleet.PoolID{}, workers: map[fleet.InstanceID]*platform.Registration{},
+		formerly: map[fleet.QueueID][]fleet.PoolID{}, workers: map[fleet.InstanceID]*platform.Registration{}, waves: map[int]seenWave{},
 	}
+	if s.MachinesAddr.IsValid() {
+		p.machines = platform.NewMachines(s.MachinesAddr, platform.NewHTTPClient(machineConns)).Calls()
+	}
+	p.machinesSeen.name = "machines"
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p
 }
@@ -129,6 +139,7 @@
 	p.wg.Go(func() { p.followConfig(p.ctx) })
 	p.wg.Go(func() { p.followTenures(p.ctx) })
 	p.wg.Go(func() { p.followWorkers(p.ctx) })
+	p.wg.Go(func() { p.reportPools(p.ctx) })
 	p.Log.Info("hosted: started", "member", s.Member, "zone", s.Zone, "callers", s.CallerAddr.String(), "members", p.memberAddress(), "store", s.StoreAddr.String())
 	return nil
 }
@@ -187,7 +198,12 @@
 		o.cancel()
 		list = append(list, o)
 	}
+	holder := p.holder
 	p.mu.Unlock()
+	if holder != nil {
+		holder.cancel()
+		<-holder.done
+	}
 	for _, o := range list {
 		<-o.done
 	}
--- /dev/null
+++ b/machine/demand.go
@@ -0,0 +1,64 @@
+package machine
+
+import (
+	"citronknot/clock"
+	"citronknot/fleet"
+)
+
+// demand follows how much work arrives in a pool.
+type demand struct {
+	samples []sample
+	rate    int64 // thousandths of cores that the recent arrivals keep busy
+	hotAt   clock.Millis
+	cooled  clock.Millis // when the pool was last hot; 0 for never
+}
+
+type sample struct {
+	at      clock.Millis
+	arrived int64
+}
+
+// rateSpan is the time over which arrivals are averaged: long enough for some jobs, short
+// against the turns of demand.
+const rateSpan clock.Millis = 800
+
+func (d *demand) observe(l *PoolLoad, now clock.Millis) {
+	if n := len(d.samples); n > 0 && l.Arrived < d.samples[n-1].arrived {
+		d.samples = d.samples[:0] // another owner counts from 0
+	}
+	d.samples = append(d.samples, sample{at: now, arrived: l.Arrived})
+	for len(d.samples) > 2 && now-d.samples[1].at >= rateSpan {
+		d.samples = d.samples[1:]
+	}
+	first := d.samples[0]
+	d.rate = 0
+	if span := now - first.at; span > 0 {
+		d.rate = (l.Arrived - first.arrived) / int64(max(span, rateSpan/2))
+	}
+}
+
+// need returns the thousandths of cores that a pool can use now.
+func (v *poolView) need() int64 {
+	return v.load.Lasting + max(v.load.Active, v.demand.rate)
+}
+
+// capacity returns the thousandths of cores of a pool's machines that are to stay there,
+// including those on the way to it.
+func (p *Planner) capacity(pool fleet.PoolID) int64 {
+	var sum int64
+	for _, m := range p.machines {
+		if m.heads() == pool && m.State != Down {
+			sum += m.Capacity.CPU
+		}
+	}
+	return sum
+}
+
+// heads returns the pool that a machine is in or on its way to; a machine that is being emptied
+// for a move counts for where it goes.
+func (m *view) heads() fleet.PoolID {
+	if m.intent != nil && m.intent.Pool != "" {
+		return m.intent.Pool
+	}
+	return m.Pool
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -29,6 +29,8 @@
 	KeepFinal clock.Millis // how long the state of a finished job can be read
 	// Terms returns what a queue promises its jobs.
 	Terms func(fleet.QueueID) (schedule.Terms, bool)
+	// Limited reports whether a team's running tasks are bounded.
+	Limited func(fleet.TeamID) bool
 }
 
 // tick is the period of what has no event of its own: timeouts, due times, pace.
@@ -49,8 +51,10 @@
 	savedKnown map[fleet.InstanceID]knownWorker
 	knownDirty bool
 	unproven   map[fleet.InstanceID]bool // known at the takeover and not heard since
-	settleAt   clock.Millis
-	stopped    bool
+	// Start of incarnations that ended by an order to their machine.
+	ended    map[fleet.InstanceID]clock.Millis
+	settleAt clock.Millis
+	stopped  bool
 
 	inbox      map[job.ID]*submission // not durable yet
 	queue      []*submission          // of them, those in no commit yet
@@ -77,7 +81,7 @@
 	o := &Owner{
 		Config: c, listed: map[fleet.InstanceID]schedule.Worker{}, addresses: map[fleet.InstanceID]string{},
 		sessions: map[fleet.InstanceID]*session{}, known: map[fleet.InstanceID]knownWorker{},
-		savedKnown: map[fleet.InstanceID]knownWorker{}, unproven: map[fleet.InstanceID]bool{},
+		savedKnown: map[fleet.InstanceID]knownWorker{}, ended: map[fleet.InstanceID]clock.Millis{}, unproven: map[fleet.InstanceID]bool{},
 		inbox: map[job.ID]*submission{}, saved: make(chan struct{}), plan: make(chan struct{}, 1), save: make(chan struct{}, 1),
 	}
 	return o
--- a/owner/save.go
+++ b/owner/save.go
@@ -47,7 +47,8 @@
 	defer o.mu.Unlock()
 	now, wall := o.Clock.Now(), o.Clock.Wall()
 	o.pool = schedule.New(schedule.Config{
-		Pool: o.Pool, RunBase: int(o.Tenure.Fence()-1) * runsPerTenure, FarFactor: o.FarFactor, Note: o.note,
+		Pool: o.Pool, RunBase: int(o.Tenure.Fence()-1) * runsPerTenure, FarFactor: o.FarFactor,
+		Limited: o.Limited, Note: o.note,
 	})
 	progress := map[job.ID]*job.Progress{}
 	for _, r := range rows {
--- a/owner/workers.go
+++ b/owner/workers.go
@@ -41,6 +41,9 @@
 	now := o.Clock.Now()
 	present := map[fleet.InstanceID]bool{}
 	for _, l := range list {
+		if o.hasEnded(l.ID, l.Born) {
+			continue
+		}
 		present[l.ID] = true
 		o.listed[l.ID], o.addresses[l.ID] = l.Worker, l.Address
 		k, known := o.known[l.ID]
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -13,6 +13,7 @@
 	p.due(now, wall)
 	p.overdue(now)
 	p.paceAll(now)
+	p.emptyAll(now)
 	p.place(now)
 	out := p.orders
 	p.orders = nil
@@ -159,8 +160,10 @@
 // allowed reports whether a team may have n more tasks of a step running. It is the one place
 // that enforces a team's limit in a pool.
 func (p *Pool) allowed(s *stepRun, n int64) bool {
-	limit, limited := p.allowance[s.job.Team]
-	return !limited || s.job.Team == "" || p.used[s.job.Team].Add(s.spec.Needs.Scale(n)).Fits(limit)
+	if s.job.Team == "" || p.Limited == nil || !p.Limited(s.job.Team) {
+		return true
+	}
+	return p.used[s.job.Team].Add(s.spec.Needs.Scale(n)).Fits(p.allowance[s.job.Team])
 }
 
 func (p *Pool) start(t *task, w *worker, run int, now clock.Millis) {
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -18,6 +18,9 @@
 	StartWait clock.Millis
 	// StopRepeat is the time after which a stop without an end is sent again; 0 means 700 ms.
 	StopRepeat clock.Millis
+	// Limited reports whether a team's running tasks are bounded; nil bounds none. A bounded
+	// team may run what its allowance holds, and nothing without one.
+	Limited func(fleet.TeamID) bool
 	// Note, if not nil, is told what the pool comes to believe.
 	Note func(Event)
 }
@@ -36,7 +39,8 @@
 	ready     []*stepRun // steps with waiting tasks
 	timed     []*Job     // jobs with occurrences to come
 	used      map[fleet.TeamID]job.Resources
-	allowance map[fleet.TeamID]job.Resources // teams without an entry have no limit
+	allowance map[fleet.TeamID]job.Resources // of teams with a limit
+	arrived   int64                          // see Load
 	dirty     map[job.ID]*Job
 	orders    []Order
 	stops     map[*task]bool // tasks in state stopping
@@ -81,6 +85,9 @@
 		s.begun = s.state != job.Queued
 	}
 	p.jobs[j.ID] = s
+	if progress == nil {
+		p.arrived += j.Work()
+	}
 	switch {
 	case s.state.Final():
 	case j.Runs > 0:
@@ -266,8 +273,8 @@
 // SetAllowance sets what each team with a limit may have running in this pool.
 func (p *Pool) SetAllowance(a map[fleet.TeamID]job.Resources) { p.allowance = a }
 
-// Used returns what a team has running.
-func (p *Pool) Used(team fleet.TeamID) job.Resources { return p.used[team] }
+// Allowance returns what each team with a limit may have running in this pool.
+func (p *Pool) Allowance() map[fleet.TeamID]job.Resources { return p.allowance }
 
 // Job returns a job, or nil.
 func (p *Pool) Job(id job.ID) *Job { return p.jobs[id] }
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -23,15 +23,16 @@
 // worker is the scheduler's view of a Worker.
 type worker struct {
 	Worker
-	used      job.Resources
-	tasks     map[*task]bool
-	answered  bool // under this tenure's fence
-	reachable bool
-	cordoned  bool         // takes no new tasks: it is to move or to be maintained
-	fullUntil clock.Millis // refused a start for want of room
-	faults    float64      // recent failures, halved by each success
-	shunUntil clock.Millis // no new starts: it fails what it starts
-	lost      bool         // its entry is gone or names another incarnation
+	used       job.Resources
+	tasks      map[*task]bool
+	answered   bool // under this tenure's fence
+	reachable  bool
+	cordoned   bool // takes no new tasks: it is to move or to be maintained
+	cordonedAt clock.Millis
+	fullUntil  clock.Millis // refused a start for want of room
+	faults     float64      // recent failures, halved by each success
+	shunUntil  clock.Millis // no new starts: it fails what it starts
+	lost       bool         // its entry is gone or names another incarnation
 }
 
 // Failures in a row on a worker, over different jobs, from which it is avoided, and for how
