--- a/owner/workers.go
+++ b/owner/workers.go
@@ -89,7 +89,7 @@
 		Durable:   o.durable,
 		Reachable: func(yes bool) { o.change(id, born, func(clock.Millis) { o.pool.SetReachable(id, yes) }) },
 		Lost:      func(why string) { o.change(id, born, func(now clock.Millis) { o.proved(id); o.drop(id, why, now) }) },
-		Lapsed:    func() { o.change(id, born, func(now clock.Millis) { o.lapsed(id, now) }) },
+		Lapsed:    func() bool { return o.lapsed(id, born) },
 		Deposed:   o.deposed,
 	})
 	o.sessions[id] = s
@@ -121,13 +121,20 @@
 	wake(o.save)
 }
 
-// lapsed notes that the leases on a worker have ended. A worker that is not listed either is
-// forgotten.
-func (o *Owner) lapsed(id fleet.InstanceID, now clock.Millis) {
-	o.pool.Lapse(id, now)
-	if _, listed := o.listed[id]; !listed {
-		o.drop(id, "it is not listed and its leases have ended", now)
+// lapsed takes in that the leases given to a worker have ended. That says that nothing runs
+// there only if no other owner can have extended them since: without a certain tenure it is not
+// taken in. A worker that is not listed either is forgotten.
+func (o *Owner) lapsed(id fleet.InstanceID, born clock.Millis) bool {
+	if !o.Tenure.Certain() {
+		return false
 	}
+	o.change(id, born, func(now clock.Millis) {
+		o.pool.Lapse(id, now)
+		if _, listed := o.listed[id]; !listed {
+			o.drop(id, "it is not listed and its leases have ended", now)
+		}
+	})
+	return true
 }
 
 func (o *Owner) deposed() {
--- a/schedule/load.go
+++ b/schedule/load.go
@@ -98,10 +98,11 @@
 // emptied. Most tasks end within it; the others lose little when they are moved.
 const emptyWait clock.Millis = 1500
 
-// emptyAll stops what would keep cordoned workers from getting empty.
+// emptyAll stops what would keep cordoned workers from getting empty, and moves what would be
+// cut when a worker leaves.
 func (p *Pool) emptyAll(now clock.Millis) {
 	for _, w := range p.order {
-		if w.cordoned && w.reachable && len(w.tasks) > 0 {
+		if (w.cordoned || w.Draining) && w.reachable && len(w.tasks) > 0 {
 			p.empty(w, now)
 		}
 	}
@@ -117,10 +118,10 @@
 		s := t.step
 		switch {
 		case s.spec.LongRunning:
-			if s.away(t) < max(1, s.spec.MayMiss) && p.choose(t, now) != nil {
+			if (w.Draining || s.away(t) < max(1, s.spec.MayMiss)) && p.choose(t, now) != nil {
 				p.stop(t, StopEmpty, now)
 			}
-		case s.spec.Checkpoint && t.saved != "" && !s.spec.Gang && now-w.cordonedAt > emptyWait:
+		case s.spec.Checkpoint && t.saved != "" && !s.spec.Gang && (w.Draining || now-w.cordonedAt > emptyWait):
 			p.stop(t, StopEmpty, now)
 		}
 	}
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -204,10 +204,11 @@
 	}
 }
 
-// afterEnd lets a task that was freed start again, unless its job is final.
+// afterEnd lets a task that was freed start again, unless its job is final. The end of an
+// earlier run does not say that a newer one does not run where nobody has looked yet.
 func (p *Pool) afterEnd(t *task, now clock.Millis) {
 	switch {
-	case t.state == done || t.state == spent:
+	case t.state == done || t.state == spent || t.state == unproven:
 	case t.step.job.state.Final():
 		t.enter(blocked, now)
 	default:
@@ -327,7 +328,7 @@
 	switch {
 	case o.Kind == Start && t.state == starting:
 		p.startAnswered(t, w, out, now)
-	case o.Kind == Stop && t.state == stopping && out == Accepted:
+	case o.Kind == Stop && t.state == stopping && out == Accepted && !t.stopAnswered:
 		t.stopAnswered, t.answeredAt = true, now
 	}
 }
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -39,7 +39,7 @@
 		}
 	}
 	for t := range p.stops {
-		if now-t.stopSent > p.StopRepeat {
+		if !t.stopAnswered && now-t.stopSent > p.StopRepeat {
 			t.stopSent = now
 			p.orderStop(t)
 		}
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -16,7 +16,7 @@
 	// StartWait is how long a start may stay without an answer before it is withdrawn;
 	// 0 means 1000 ms.
 	StartWait clock.Millis
-	// StopRepeat is the time after which a stop without an end is sent again; 0 means 700 ms.
+	// StopRepeat is the time after which a stop without an answer is sent again; 0 means 700 ms.
 	StopRepeat clock.Millis
 	// Limited reports whether a team's running tasks are bounded; nil bounds none. A bounded
 	// team may run what its allowance holds, and nothing without one.
--- a/schedule/pool_test.go
+++ b/schedule/pool_test.go
@@ -61,3 +61,70 @@
 	must.Eq(t, 0, orders[0].Task.Index)
 	must.Eq(t, 1001, orders[0].Run)
 }
+
+// The end of an earlier run arrives before the worker with the newer run was looked at:
+// starting the task then runs it twice.
+func TestEarlierEndDoesNotProveTheNewerRun(t *testing.T) {
+	p := schedule.New(schedule.Config{Pool: "p", RunBase: 1000})
+	p.Add(newJob(1, tasks(1)), terms, &job.Progress{}, 0, 0)
+	p.SetWorker(schedule.Worker{ID: "w0", Born: 1, Capacity: job.Resources{CPU: 16000, Memory: 1000}}, 0)
+	p.SetReachable("w0", true)
+	ref := job.Ref{Job: id(1)}
+	p.Observe("w0", schedule.Report{Ended: []schedule.EndReport{{Task: ref, Run: 1, Kind: schedule.EndFailed}}}, 0)
+	must.Len(t, 0, p.Plan(0, 0))
+	p.SetWorker(schedule.Worker{ID: "w1", Born: 1, Capacity: job.Resources{CPU: 16000, Memory: 1000}}, 0)
+	p.SetReachable("w1", true)
+	p.Observe("w1", schedule.Report{Running: []schedule.RunReport{{Task: ref, Run: 2}}}, 0)
+	p.Settle(0)
+	must.Len(t, 0, p.Plan(0, 0), must.Sprint("run 2 goes on"))
+}
+
+// Tasks that last ran on until a leaving worker cut them, and were away for the rest of their
+// lease.
+func TestLastingTasksLeaveADrainingWorker(t *testing.T) {
+	r := newRig(t, 1)
+	lasting := tasks(2)
+	lasting.LongRunning, lasting.MayMiss = true, 1
+	r.pool.Add(newJob(1, lasting), terms, nil, 0, 0)
+	must.Len(t, 2, r.starts(0))
+	r.worker("w9", 16000)
+	r.pool.SetWorker(schedule.Worker{ID: "w0", Born: 1, Capacity: job.Resources{CPU: 16000, Memory: 32768}, Draining: true}, 0)
+	stops := r.plan(10)
+	must.Len(t, 2, stops)
+	for _, o := range stops {
+		must.Eq(t, schedule.Stop, o.Kind)
+		r.end(o, schedule.EndStopped)
+	}
+	for _, o := range r.starts(10) {
+		must.Eq(t, "w9", o.Worker)
+	}
+}
+
+// A start that was never answered is withdrawn by a stop. The stop was repeated while a look
+// was under way, and each answer moved the time from which a look counts, so that the task
+// stayed away for good.
+func TestWithdrawnStartIsResolved(t *testing.T) {
+	r := newRig(t, 1)
+	r.pool.Add(newJob(1, tasks(1)), terms, nil, 0, 0)
+	start := r.plan(0)
+	must.Len(t, 1, start)
+	r.pool.Answered(start[0], schedule.Unanswered, r.now)
+	stopped := false
+	for range 6 {
+		asked := r.now
+		for _, o := range r.plan(800) {
+			must.Eq(t, schedule.Stop, o.Kind)
+			r.pool.Answered(o, schedule.Accepted, r.now)
+			stopped = true
+		}
+		r.now += 200
+		r.pool.Observe("w0", schedule.Report{Asked: asked}, r.now)
+		if stopped && r.pool.Load().Workers[0].Tasks == 0 {
+			break
+		}
+	}
+	again := r.plan(0)
+	must.Len(t, 1, again)
+	must.Eq(t, schedule.Start, again[0].Kind)
+	must.Eq(t, 2, again[0].Run)
+}
--- a/worker/session.go
+++ b/worker/session.go
@@ -40,8 +40,9 @@
 	Reachable func(yes bool)
 	// Lost is told that nothing runs on the incarnation any more, once.
 	Lost func(why string)
-	// Lapsed is told that the lease of everything on the worker has ended unrenewed.
-	Lapsed func()
+	// Lapsed is told that the leases that this session gave have ended unrenewed. It reports
+	// whether that was taken in; if not, it is told again.
+	Lapsed func() bool
 	// Deposed is told that the worker takes orders of a higher fence.
 	Deposed func()
 }
@@ -127,12 +128,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := LookOrder{Fence: s.Fence, Forget: s.forget}
-	if s.lease.heard {
+	// A look that may not be answered extends no lease: the end of what runs on a worker that
+	// has gone silent must come.
+	if s.lease.heard && s.reachable {
 		o.LeaseUntil = s.lease.extend(LeaseLength, now)
 		o.Wait = lookWait
-		if !s.reachable {
-			o.Wait = 0
-		}
 	}
 	return o
 }
@@ -155,14 +155,15 @@
 	s.reachable = false
 	ends := s.lease.endsBy()
 	lapsed := !s.lapsed && s.lease.heard && now > ends
-	s.lapsed = s.lapsed || lapsed
 	s.mu.Unlock()
 	if was {
 		s.Log.Warn("worker: no answer", "worker", s.Target.ID, "lease_ends_in_ms", int64(ends-now), "err", err)
 		s.Reachable(false)
 	}
-	if lapsed {
-		s.Lapsed()
+	if lapsed && s.Lapsed() {
+		s.mu.Lock()
+		s.lapsed = !s.reachable
+		s.mu.Unlock()
 	}
 }
 
