--- a/job/codec.go
+++ b/job/codec.go
@@ -51,7 +51,7 @@
 	State    string         `json:"state,omitempty"`
 	Finished int64          `json:"finished_ms,omitempty"`
 	Done     []string       `json:"done,omitempty"` // occurrence.step.first-last
-	Failures map[string]int `json:"failures,omitempty"`
+	Failures map[string][]int `json:"failures,omitempty"`
 }
 
 // Encode returns j as it is kept and sent between members.
@@ -109,11 +109,11 @@
 	w := wireProgress{State: string(p.State), Finished: int64(p.Finished)}
 	if !p.State.Final() {
 		w.Done = encodeDone(p.Done)
-		for at, n := range p.Failures {
+		for at, runs := range p.Failures {
 			if w.Failures == nil {
-				w.Failures = map[string]int{}
+				w.Failures = map[string][]int{}
 			}
-			w.Failures[fmt.Sprintf("%d.%d.%d", at.Occurrence, at.Step, at.Index)] = n
+			w.Failures[fmt.Sprintf("%d.%d.%d", at.Occurrence, at.Step, at.Index)] = runs
 		}
 	}
 	text, err := json.Marshal(w)
@@ -154,7 +154,7 @@
 	if err := json.Unmarshal(text, &w); err != nil {
 		return nil, eris.Wrap(err, "job: decode progress")
 	}
-	p := &Progress{State: State(w.State), Finished: clock.Millis(w.Finished), Done: map[Position]bool{}, Failures: map[Position]int{}}
+	p := &Progress{State: State(w.State), Finished: clock.Millis(w.Finished), Done: map[Position]bool{}, Failures: map[Position][]int{}}
 	for _, d := range w.Done {
 		head, last, ok := strings.Cut(d, "-")
 		at, err := decodePosition(head)
@@ -166,12 +166,12 @@
 			p.Done[at] = true
 		}
 	}
-	for text, n := range w.Failures {
+	for text, runs := range w.Failures {
 		at, err := decodePosition(text)
 		if err != nil {
 			return nil, err
 		}
-		p.Failures[at] = n
+		p.Failures[at] = runs
 	}
 	return p, nil
 }
--- a/job/progress.go
+++ b/job/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"citronknot/clock"
 )
@@ -35,7 +36,7 @@
 	State    State
 	Finished clock.Millis // wall time at which a final state was reached
 	Done     map[Position]bool
-	Failures map[Position]int
+	Failures map[Position][]int // numbers of the runs that failed
 }
 
 // MarkDone notes that a task is done.
@@ -46,16 +47,24 @@
 	p.Done[at] = true
 }
 
-// AddFailure counts one more failure of a task and returns their number.
-func (p *Progress) AddFailure(at Position) int {
+// AddFailure notes that a run of a task failed and returns the number of runs that did. A run
+// that is noted already counts once: a worker lists an end until it is told to forget it, and
+// the owner that noted it may be gone by then.
+func (p *Progress) AddFailure(at Position, run int) int {
 	if p.Failures == nil {
-		p.Failures = map[Position]int{}
+		p.Failures = map[Position][]int{}
 	}
-	p.Failures[at]++
-	return p.Failures[at]
+	if !slices.Contains(p.Failures[at], run) {
+		p.Failures[at] = append(p.Failures[at], run)
+	}
+	return len(p.Failures[at])
 }
 
 // Clone returns a deep copy.
 func (p *Progress) Clone() Progress {
-	return Progress{State: p.State, Finished: p.Finished, Done: maps.Clone(p.Done), Failures: maps.Clone(p.Failures)}
+	c := Progress{State: p.State, Finished: p.Finished, Done: maps.Clone(p.Done), Failures: maps.Clone(p.Failures)}
+	for at, runs := range c.Failures {
+		c.Failures[at] = slices.Clone(runs)
+	}
+	return c
 }
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -198,7 +198,7 @@
 		w.succeeded()
 		p.taskDone(t, now)
 	case e.Kind == EndFailed:
-		p.taskFailed(t, w, current, now)
+		p.taskFailed(t, w, e.Run, current, now)
 	case current:
 		p.afterEnd(t, now)
 	}
@@ -284,7 +284,7 @@
 	}
 }
 
-func (p *Pool) taskFailed(t *task, w *worker, current bool, now clock.Millis) {
+func (p *Pool) taskFailed(t *task, w *worker, run int, current bool, now clock.Millis) {
 	s, j := t.step, t.step.job
 	if t.failedOn == nil {
 		t.failedOn = map[*worker]bool{}
@@ -303,7 +303,7 @@
 	if s.spec.Gang {
 		at.Index = 0
 	}
-	failures := j.progress.AddFailure(at)
+	failures := j.progress.AddFailure(at, run)
 	p.touch(j)
 	switch {
 	case j.state.Final():
--- a/schedule/pool_test.go
+++ b/schedule/pool_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"citronknot/fleet"
 	"citronknot/job"
 	"citronknot/schedule"
 )
@@ -128,3 +129,48 @@
 	must.Eq(t, schedule.Start, again[0].Kind)
 	must.Eq(t, 2, again[0].Run)
 }
+
+// A worker had crashed silently. Its task counted as at work by its last report, and another
+// task of the step was stopped to empty a worker, so that two were away.
+func TestSilentWorkersTasksCountAsAway(t *testing.T) {
+	r := newRig(t, 2)
+	lasting := tasks(2)
+	lasting.LongRunning, lasting.MayMiss, lasting.MaxPerWorker = true, 1, 1
+	r.pool.Add(newJob(1, lasting), terms, nil, 0, 0)
+	started := r.starts(0)
+	must.Len(t, 2, started)
+	for _, o := range started {
+		r.pool.Observe(o.Worker, schedule.Report{Running: []schedule.RunReport{{Task: o.Task, Run: o.Run, Percent: 100}}}, r.now)
+	}
+	r.worker("w9", 16000)
+	r.pool.SetReachable("w0", false)
+	r.pool.Cordon([]fleet.InstanceID{"w1"}, r.now)
+	must.Len(t, 0, r.plan(10))
+	r.pool.SetReachable("w0", true)
+	must.Len(t, 1, r.plan(10))
+}
+
+// An owner made two failures durable and was killed before it told the worker to forget them.
+// Its successor counted them again and failed a job that had attempts left.
+func TestFailuresCountOnce(t *testing.T) {
+	r := newRig(t, 1)
+	r.pool.Add(newJob(1, tasks(1)), schedule.Terms{Attempts: 3}, nil, 0, 0)
+	var ends []schedule.EndReport
+	for range 2 {
+		o := r.starts(10)
+		must.Len(t, 1, o)
+		r.end(o[0], schedule.EndFailed)
+		ends = append(ends, schedule.EndReport{Task: o[0].Task, Run: o[0].Run, Kind: schedule.EndFailed})
+	}
+	text, err := r.pool.Changes(0, 10)[0].Progress.Encode()
+	must.NoError(t, err)
+	progress, err := job.DecodeProgress(text)
+	must.NoError(t, err)
+
+	next := newRig(t, 1)
+	next.pool.Add(newJob(1, tasks(1)), schedule.Terms{Attempts: 3}, progress, 0, 0)
+	next.pool.Observe("w0", schedule.Report{Ended: ends}, 0)
+	next.commit()
+	must.NotEq(t, job.Failed, next.state(1))
+	must.Len(t, 1, next.starts(10))
+}
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -53,8 +53,9 @@
 	return t.state == starting || t.state == running || t.state == stopping
 }
 
-// atWork reports whether a task that lasts does its work.
-func (t *task) atWork() bool { return t.state == running && t.percent >= 100 }
+// atWork reports whether a task that lasts is known to do its work. What a worker told before
+// it went silent does not count.
+func (t *task) atWork() bool { return t.state == running && t.percent >= 100 && t.worker.reachable }
 
 // needs is what the task occupies on a worker.
 func (t *task) needs() job.Resources {
