Move machines to the pools that lack capacity

Ruled out by a trial: waiting for the end of a hot time before machines may leave (they stayed for 6 s while the next pool starved), and growing ahead of the turn by an expected period (a single wide job was taken for a turn). Late work does not ask for machines.

--- a/hosted/fleet.go
+++ b/hosted/fleet.go
@@ -190,6 +190,10 @@
 	}
 	h.mu.Lock()
 	orders := h.planner.Plan(h.p.Clock.Now())
+	for _, s := range h.planner.Pools(h.p.Clock.Now()) {
+		h.p.Log.Debug("hosted: pool seen", "pool", s.Pool, "need", s.Need, "target", s.Target, "capacity", s.Capacity,
+			"rate", s.Rate, "hot", s.Hot, "age_ms", int64(s.Age))
+	}
 	h.busy += len(orders)
 	h.mu.Unlock()
 	for _, o := range orders {
--- a/machine/demand.go
+++ b/machine/demand.go
@@ -5,12 +5,26 @@
 	"citronknot/fleet"
 )
 
-// demand follows how much work arrives in a pool.
+// Bounds of a pool's hot times, as parts of the capacity that it had at first, in percent, and
+// the least time of one: a single wide job is none.
+const (
+	hotPercent               = 60
+	coolPercent              = 30
+	hotLeast    clock.Millis = 2000
+)
+
+// rateSpan is the time over which arrivals are averaged: long enough for some jobs, short
+// against the turns of demand.
+const rateSpan clock.Millis = 800
+
+// demand follows how much work arrives in a pool, and when it is hot.
 type demand struct {
 	samples []sample
 	rate    int64 // thousandths of cores that the recent arrivals keep busy
-	hotAt   clock.Millis
-	cooled  clock.Millis // when the pool was last hot; 0 for never
+	hot     bool
+	began   clock.Millis // of the last hot time
+	ended   clock.Millis
+	ever    bool // was hot for long enough
 }
 
 type sample struct {
@@ -18,11 +32,8 @@
 	arrived int64
 }
 
-// rateSpan is the time over which arrivals are averaged: long enough for some jobs, short
-// against the turns of demand.
-const rateSpan clock.Millis = 800
-
-func (d *demand) observe(l *PoolLoad, now clock.Millis) {
+// observe takes in a report of a pool that had the given capacity at first.
+func (d *demand) observe(l *PoolLoad, base int64, now clock.Millis) {
 	if n := len(d.samples); n > 0 && l.Arrived < d.samples[n-1].arrived {
 		d.samples = d.samples[:0] // another owner counts from 0
 	}
@@ -35,6 +46,25 @@
 	if span := now - first.at; span > 0 {
 		d.rate = (l.Arrived - first.arrived) / int64(max(span, rateSpan/2))
 	}
+	d.turn(max(l.Active, d.rate), base, now)
+}
+
+// turn notes when hot times begin and end.
+func (d *demand) turn(need, base int64, now clock.Millis) {
+	switch {
+	case !d.hot && need*100 >= base*hotPercent:
+		d.hot, d.began = true, now
+	case d.hot && need*100 < base*coolPercent:
+		d.hot = false
+		if now-d.began >= hotLeast {
+			d.ever, d.ended = true, now
+		}
+	}
+}
+
+// recently reports whether a hot time has ended not long ago.
+func (d *demand) recently(now clock.Millis) bool {
+	return d.ever && !d.hot && now-d.ended < recent
 }
 
 // need returns the thousandths of cores that a pool can use now.
--- a/machine/planner.go
+++ b/machine/planner.go
@@ -60,6 +60,7 @@
 	load    PoolLoad
 	at      clock.Millis
 	demand  demand
+	base    int64        // capacity at first, in thousandths of cores
 	surplus clock.Millis // since when the pool has had more than it needs; 0 for not
 }
 
@@ -145,11 +146,14 @@
 // SetLoad takes in a pool's report.
 func (p *Planner) SetLoad(l PoolLoad, now clock.Millis) {
 	v := p.pools[l.Pool]
-	if v == nil {
+	if v == nil || !p.hasList {
 		return
 	}
 	v.load, v.at = l, now
-	v.demand.observe(&l, now)
+	if v.base == 0 && p.hasList {
+		v.base = p.capacity(l.Pool)
+	}
+	v.demand.observe(&l, max(1, v.base), now)
 	workers := make(map[fleet.InstanceID]*schedule.WorkerLoad, len(l.Workers))
 	for i := range l.Workers {
 		workers[l.Workers[i].ID] = &l.Workers[i]
@@ -327,3 +331,28 @@
 	}
 	return false
 }
+
+// PoolState is what the planner holds of a pool, for logs and people. Sizes are thousandths of
+// cores.
+type PoolState struct {
+	Pool     fleet.PoolID
+	Need     int64
+	Target   int64
+	Capacity int64
+	Rate     int64 // that recent arrivals keep busy
+	Hot      bool
+	Age      clock.Millis // of the report
+}
+
+// Pools returns the states of the pools, by id.
+func (p *Planner) Pools(now clock.Millis) []PoolState {
+	out := make([]PoolState, 0, len(p.pools))
+	for id, v := range p.pools {
+		out = append(out, PoolState{
+			Pool: id, Need: v.need(), Target: p.target(id), Capacity: p.capacity(id), Rate: v.demand.rate,
+			Hot: v.demand.hot, Age: now - v.at,
+		})
+	}
+	slices.SortFunc(out, func(a, b PoolState) int { return cmp.Compare(a.Pool, b.Pool) })
+	return out
+}
--- a/owner/report.go
+++ b/owner/report.go
@@ -31,7 +31,7 @@
 	if !o.loaded || o.stopped {
 		return r, false
 	}
-	r.Pool, r.Fence, r.Load = o.Pool, o.Tenure.Fence(), o.pool.Load()
+	r.Pool, r.Fence, r.Load = o.Pool, o.Tenure.Fence(), o.pool.Load(o.Clock.Now())
 	r.Teams = map[fleet.TeamID]quota.Usage{}
 	allowed := o.pool.Allowance()
 	for team, l := range o.pool.Teams() {
--- a/schedule/load.go
+++ b/schedule/load.go
@@ -20,7 +20,7 @@
 type Load struct {
 	Workers []WorkerLoad
 	Lasting int64 // thousandths of cores that tasks that last need
-	Active  int64 // thousandths of cores that other tasks use or wait for
+	Active  int64 // thousandths of cores that other tasks use, or wait for in time
 	Arrived int64 // work that has arrived in all, in thousandths of a core times milliseconds
 }
 
@@ -31,7 +31,7 @@
 }
 
 // Load returns what the pool does and needs.
-func (p *Pool) Load() Load {
+func (p *Pool) Load(now clock.Millis) Load {
 	l := Load{Arrived: p.arrived}
 	for _, w := range p.order {
 		d := WorkerLoad{ID: w.ID, Tasks: len(w.tasks), Emptied: w.cordoned && len(w.tasks) == 0}
@@ -54,7 +54,7 @@
 		case s.spec.Fills:
 		case s.spec.LongRunning:
 			l.Lasting += need
-		default:
+		case s.rank(now).class != classLate:
 			l.Active += need
 		}
 	}
--- a/schedule/pool_test.go
+++ b/schedule/pool_test.go
@@ -120,7 +120,7 @@
 		}
 		r.now += 200
 		r.pool.Observe("w0", schedule.Report{Asked: asked}, r.now)
-		if stopped && r.pool.Load().Workers[0].Tasks == 0 {
+		if stopped && r.pool.Load(r.now).Workers[0].Tasks == 0 {
 			break
 		}
 	}
