--- a/hosted/fleet.go
+++ b/hosted/fleet.go
@@ -33,6 +33,9 @@
 	listIdle    clock.Millis = 2000 // the same while there are none
 	reportEvery clock.Millis = 250  // between the reports of a pool's owner
 	reportWait  clock.Millis = 700  // longest wait for the answer to a report
+	// lastOrderSlack is how much later than the term before a takeover the last order of the
+	// former holder can arrive.
+	lastOrderSlack clock.Millis = 1000
 )
 
 // seenWave is a wave and when it was first read.
@@ -65,7 +68,7 @@
 	now := p.Clock.Now()
 	ctx, cancel := context.WithCancel(p.ctx)
 	h := &fleetHolder{
-		p: p, tenure: t, calls: p.machines, from: now + p.Settings.HolderLeaseMin + rowstore.TenureTerm, cancel: cancel, done: make(chan struct{}),
+		p: p, tenure: t, calls: p.machines, from: now + p.Settings.HolderLeaseMin + lastOrderSlack, cancel: cancel, done: make(chan struct{}),
 		planner: machine.NewPlanner(machine.Config{MoveTime: p.Settings.MoveTime, UpkeepTime: p.Settings.UpkeepTime}),
 		ledger:  quota.New(now), ended: map[fleet.PoolID][]fleet.InstanceID{}, saved: map[int]int{}, told: map[int]machine.WaveState{},
 	}
@@ -303,7 +306,7 @@
 	if err != nil {
 		return err
 	}
-	if ok && string(row.Value) == string(platform.WaveStatus(n, machine.WaveComplete).Value) {
+	if ok && s != machine.WaveComplete && string(row.Value) == string(platform.WaveStatus(n, machine.WaveComplete).Value) {
 		return nil
 	}
 	_, err = h.p.table.Transact(ctx, rowstore.Transaction{
--- a/machine/demand.go
+++ b/machine/demand.go
@@ -5,11 +5,11 @@
 	"citronknot/fleet"
 )
 
-// Bounds of a pool's hot times, as parts of the capacity that it had at first, in percent, and
+// Bounds of a pool's hot times, as parts of an even share of all machines, in percent, and
 // the least time of one: a single wide job is none.
 const (
-	hotPercent               = 60
-	coolPercent              = 30
+	hotPercent               = 40
+	coolPercent              = 20
 	hotLeast    clock.Millis = 2000
 )
 
@@ -32,8 +32,8 @@
 	arrived int64
 }
 
-// observe takes in a report of a pool that had the given capacity at first.
-func (d *demand) observe(l *PoolLoad, base int64, now clock.Millis) {
+// observe takes in a report of a pool; share is an even share of all machines.
+func (d *demand) observe(l *PoolLoad, share int64, now clock.Millis) {
 	if n := len(d.samples); n > 0 && l.Arrived < d.samples[n-1].arrived {
 		d.samples = d.samples[:0] // another owner counts from 0
 	}
@@ -46,15 +46,15 @@
 	if span := now - first.at; span > 0 {
 		d.rate = (l.Arrived - first.arrived) / int64(max(span, rateSpan/2))
 	}
-	d.turn(max(l.Active, d.rate), base, now)
+	d.turn(max(l.Active, d.rate), share, now)
 }
 
 // turn notes when hot times begin and end.
-func (d *demand) turn(need, base int64, now clock.Millis) {
+func (d *demand) turn(need, share int64, now clock.Millis) {
 	switch {
-	case !d.hot && need*100 >= base*hotPercent:
+	case !d.hot && need*100 >= share*hotPercent:
 		d.hot, d.began = true, now
-	case d.hot && need*100 < base*coolPercent:
+	case d.hot && need*100 < share*coolPercent:
 		d.hot = false
 		if now-d.began >= hotLeast {
 			d.ever, d.ended = true, now
--- a/machine/moves.go
+++ b/machine/moves.go
@@ -13,9 +13,9 @@
 	// headroom is what a pool gets beyond its need, in percent: demand grows while machines
 	// are on their way, and an idle machine costs a small part of what late jobs do.
 	headroom = 50
-	// idleFloor is the part of its first capacity, in percent, that a pool keeps while its hot
-	// time may come at any moment.
-	idleFloor = 75
+	// idleFloor is the part of an even share of all machines, in percent, that a pool keeps
+	// while its hot time may come at any moment.
+	idleFloor = 60
 	// recent is how long after its hot time a pool gives machines first. Where demand goes
 	// round, the pool that was hot last is hot again last.
 	recent clock.Millis = 20000
@@ -99,7 +99,7 @@
 	}
 	rank := 100 + m.tasks
 	if !v.demand.recently(now) {
-		if after*100 < v.base*idleFloor {
+		if after*100 < p.evenShare()*idleFloor {
 			return -1
 		}
 		rank += 100
@@ -107,6 +107,16 @@
 	return rank
 }
 
+// evenShare returns the capacity that each pool would have if all had the same. It does not
+// depend on what an earlier holder has moved.
+func (p *Planner) evenShare() int64 {
+	var sum int64
+	for _, m := range p.machines {
+		sum += m.Capacity.CPU
+	}
+	return sum / int64(max(1, len(p.pools)))
+}
+
 // inWave reports whether a machine waits for its upkeep.
 func (p *Planner) inWave(m *view) bool {
 	for _, w := range p.waves {
--- a/machine/planner.go
+++ b/machine/planner.go
@@ -60,7 +60,6 @@
 	load    PoolLoad
 	at      clock.Millis
 	demand  demand
-	base    int64        // capacity at first, in thousandths of cores
 	surplus clock.Millis // since when the pool has had more than it needs; 0 for not
 }
 
@@ -150,10 +149,7 @@
 		return
 	}
 	v.load, v.at = l, now
-	if v.base == 0 && p.hasList {
-		v.base = p.capacity(l.Pool)
-	}
-	v.demand.observe(&l, max(1, v.base), now)
+	v.demand.observe(&l, max(1, p.evenShare()), now)
 	workers := make(map[fleet.InstanceID]*schedule.WorkerLoad, len(l.Workers))
 	for i := range l.Workers {
 		workers[l.Workers[i].ID] = &l.Workers[i]
