Reach the store through another member when it turns this one away

A call that fails directly now goes through another member; commits are safe to send both ways, since a holder's commit takes effect at most once.

--- a/hosted/members.go
+++ b/hosted/members.go
@@ -42,6 +42,7 @@
 	mux.HandleFunc("DELETE /v1/pools/{pool}/jobs/{id}", p.serveOwner(p.serveCancel))
 	mux.HandleFunc("GET /v1/pools/{pool}/queues/{queue}/pending", p.serveOwner(p.servePending))
 	mux.HandleFunc("POST /v1/fleet/report", p.serveReport)
+	mux.HandleFunc("POST /v1/store", p.serveStore)
 	return mux
 }
 
@@ -117,6 +118,9 @@
 	return wireResult{Count: n}, err
 }
 
+// maxAnswerBytes bounds an answer between members: a page of a table is the largest.
+const maxAnswerBytes = 8 << 20
+
 // memberClient calls other members.
 type memberClient struct {
 	http *http.Client
@@ -179,7 +183,7 @@
 		return &owner.UnknownError{Err: eris.Wrap(err, "hosted: call")}
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxJobBytes))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
 		return &owner.UnknownError{Err: eris.Wrap(err, "hosted: answer")}
 	}
--- a/hosted/metrics.go
+++ b/hosted/metrics.go
@@ -13,6 +13,7 @@
 	owner    *owner.Metrics
 	dropped  prometheus.CounterFunc
 	machines *prometheus.CounterVec
+	detours  prometheus.Counter
 }
 
 func newMetrics(dropped func() int64) *metrics {
@@ -27,6 +28,9 @@
 			Name: "citronknot_call_seconds", Help: "Time until a call was answered.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 13),
 		}),
 		owner: owner.NewMetrics(),
+		detours: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "citronknot_store_detours_total", Help: "Calls to the store that went through another member.",
+		}),
 		machines: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "citronknot_machine_orders_total", Help: "Orders to machines by order and answer.",
 		}, []string{"order", "answer"}),
@@ -37,5 +41,5 @@
 }
 
 func (m *metrics) collectors() []prometheus.Collector {
-	return append(m.owner.Collectors(), m.calls, m.callTime, m.dropped, m.machines, collectors.NewGoCollector())
+	return append(m.owner.Collectors(), m.calls, m.callTime, m.dropped, m.machines, m.detours, collectors.NewGoCollector())
 }
--- a/hosted/process.go
+++ b/hosted/process.go
@@ -55,7 +55,8 @@
 // Process is one member on the platform.
 type Process struct {
 	Config
-	table        *rowstore.Table
+	direct       *rowstore.Table // the store
+	table        *rowstore.Table // the store, through another member if it turns this one away
 	calls        worker.Calls
 	members      *memberClient
 	machines     machine.Calls // none where the platform has no service for machines
@@ -92,11 +93,13 @@
 	s := c.Settings
 	store := platform.NewStore(s.StoreAddr, platform.NewHTTPClient(storeConns))
 	p := &Process{
-		Config: c, table: store.Table(), calls: platform.NewWorkers(platform.NewHTTPClient(workerConns)).Calls(),
+		Config: c, direct: store.Table(), calls: platform.NewWorkers(platform.NewHTTPClient(workerConns)).Calls(),
 		members: &memberClient{http: platform.NewHTTPClient(memberConns)}, metrics: newMetrics(c.Dropped),
 		tenures: map[fleet.PoolID]*rowstore.Tenure{}, owners: map[fleet.PoolID]*owned{}, vacant: map[fleet.PoolID]clock.Millis{},
 		formerly: map[fleet.QueueID][]fleet.PoolID{}, workers: map[fleet.InstanceID]*platform.Registration{}, waves: map[int]seenWave{},
 	}
+	detour := &rowstore.Detour{Direct: p.direct, Other: p.relayed, Clock: c.Clock, Used: p.metrics.detours.Inc}
+	p.table = detour.Table()
 	if s.MachinesAddr.IsValid() {
 		p.machines = platform.NewMachines(s.MachinesAddr, platform.NewHTTPClient(machineConns)).Calls()
 	}
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -46,10 +46,11 @@
 
 // Bounds of what waits for the store, and the answers to what can't.
 const (
-	maxWaiting   = 2000              // submissions that wait for a commit
-	storeStalled = clock.Millis(700) // a commit that takes longer shows that the store does not serve
-	retryStalled = clock.Millis(1000)
-	retryNoOwner = clock.Millis(500)
+	maxWaiting       = 2000              // submissions that wait for a commit
+	storeStalled     = clock.Millis(700) // a commit that takes longer shows that the store does not serve
+	retryStalled     = clock.Millis(1000)
+	retryStalledMost = clock.Millis(4000)
+	retryNoOwner     = clock.Millis(500)
 )
 
 // Submit makes a job durable and takes it into the pool. It returns nil also if the job was
@@ -90,7 +91,9 @@
 	case o.inbox[j.ID] != nil:
 		return o.inbox[j.ID], nil
 	case o.commitFrom != 0 && o.Clock.Now()-o.commitFrom > storeStalled:
-		return nil, &RefusedError{Reason: "the store does not answer", Final: true, RetryAfter: retryStalled}
+		// An outage that has lasted for long will rather last on: few retries are left to a caller.
+		after := min(retryStalledMost, max(retryStalled, o.Clock.Now()-o.commitFrom))
+		return nil, &RefusedError{Reason: "the store does not answer", Final: true, RetryAfter: after}
 	case len(o.queue) >= maxWaiting:
 		return nil, &RefusedError{Reason: "too many jobs wait for the store", Final: true, RetryAfter: retryStalled}
 	}
