--- a/machine/moves.go
+++ b/machine/moves.go
@@ -12,16 +12,16 @@
 const (
 	// headroom is what a pool gets beyond its need, in percent: demand grows while machines
 	// are on their way, and an idle machine costs a small part of what late jobs do.
-	headroom = 50
+	headroom = 30
 	// idleFloor is the part of an even share of all machines, in percent, that a pool keeps
 	// while its hot time may come at any moment.
-	idleFloor = 60
+	idleFloor = 50
 	// recent is how long after its hot time a pool gives machines first. Where demand goes
 	// round, the pool that was hot last is hot again last.
 	recent clock.Millis = 20000
 	// surplusLasts is how long a pool must have had too much before machines are switched off:
 	// a move costs about as much as a machine that idles for a second, twice.
-	surplusLasts clock.Millis = 2500
+	surplusLasts clock.Millis = 1500
 )
 
 // planMoves chooses the machines to move: to pools that lack capacity, from the spare pool and
