--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -305,6 +305,9 @@
 const releaseWait clock.Millis = 1000
 
 func (p *Process) release(t *rowstore.Tenure) {
+	if p.crashed.Load() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseWait.Duration())
 	defer cancel()
 	if err := t.Release(ctx); err != nil {
--- a/hosted/process.go
+++ b/hosted/process.go
@@ -64,6 +64,7 @@
 	metrics      *metrics
 	catalog      atomic.Pointer[job.Catalog]
 	closing      atomic.Bool
+	crashed      atomic.Bool // by Close
 
 	mu       sync.Mutex
 	tenures  map[fleet.PoolID]*rowstore.Tenure
@@ -193,6 +194,18 @@
 	p.Log.Info("hosted: stopped", "member", p.Settings.Member)
 }
 
+// Close cuts everything off at once. The pools are not handed over: other members take them
+// over after the term, as after a crash.
+func (p *Process) Close() {
+	p.closing.Store(true)
+	p.crashed.Store(true)
+	p.cancel()
+	for _, s := range p.servers {
+		_ = s.Close()
+	}
+	p.wg.Wait()
+}
+
 // handOver ends the own tenures, so that others can take the pools over.
 func (p *Process) handOver() {
 	p.mu.Lock()
