--- /dev/null
+++ b/quota/ledger_test.go
@@ -0,0 +1,103 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"citronknot/clock"
+	"citronknot/fleet"
+	"citronknot/job"
+	"citronknot/quota"
+)
+
+const team fleet.TeamID = "alpha"
+
+// poolState is one pool's owner in the model: it uses at most its allowance when it starts.
+type poolState struct {
+	fence     uint64
+	allowance int64
+	used      int64
+	want      int64
+}
+
+// The sum of what pools use stays within the limit, whatever they want, although answers are
+// lost, owners change with what they run, and the holder changes.
+func TestSumStaysWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 100
+		now := clock.Millis(0)
+		names := []fleet.PoolID{"a", "b", "c"}
+		pools := map[fleet.PoolID]*poolState{}
+		for _, id := range names {
+			pools[id] = &poolState{fence: 1}
+		}
+		ledger := quota.New(now)
+		configure := func() {
+			ledger.Configure(names, map[fleet.TeamID]job.Resources{team: {CPU: limit}})
+		}
+		configure()
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			id := rapid.SampledFrom(names).Draw(t, "pool")
+			p := pools[id]
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				p.want = rapid.Int64Range(0, 150).Draw(t, "want")
+			case 1: // tasks end
+				p.used = rapid.Int64Range(0, p.used).Draw(t, "used")
+			case 2: // another owner takes over what runs
+				p.fence++
+				p.allowance = 0
+				now += 100
+			case 3: // another holder, who knows nothing
+				now += 100
+				ledger = quota.New(now)
+				configure()
+			default:
+				out := ledger.Report(id, p.fence, map[fleet.TeamID]quota.Usage{team: {
+					Used: job.Resources{CPU: p.used}, Want: job.Resources{CPU: max(p.used, p.want)}, Allowance: job.Resources{CPU: p.allowance},
+				}}, now)
+				if rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
+					p.allowance = out[team].CPU
+				}
+				if p.want > p.used { // start what the allowance lets
+					p.used = max(p.used, min(p.want, p.allowance))
+				}
+				now += 50
+			}
+			var sum int64
+			for _, q := range pools {
+				sum += q.used
+			}
+			if sum > limit {
+				t.Fatalf("%d of %d in use", sum, limit)
+			}
+		}
+	})
+}
+
+// A pool that wants all of a limit gets all of it once the others have given theirs back.
+func TestWantedLimitMoves(t *testing.T) {
+	l := quota.New(0)
+	l.Configure([]fleet.PoolID{"a", "b"}, map[fleet.TeamID]job.Resources{team: {CPU: 100}})
+	have := map[fleet.PoolID]int64{}
+	want := map[fleet.PoolID]int64{"a": 10, "b": 10}
+	for round := range clock.Millis(6) {
+		if round == 3 {
+			want = map[fleet.PoolID]int64{"a": 500, "b": 0}
+		}
+		for _, id := range []fleet.PoolID{"a", "b"} {
+			out := l.Report(id, 1, map[fleet.TeamID]quota.Usage{team: {Want: job.Resources{CPU: want[id]}, Allowance: job.Resources{CPU: have[id]}}}, round)
+			have[id] = out[team].CPU
+		}
+	}
+	must.Eq(t, 100, have["a"])
+}
+
+func ExampleLimit() {
+	limit, limited := quota.Limit(job.Resources{CPU: 4000})
+	fmt.Println(limit.CPU, limit.Memory == quota.Unlimited, limited)
+	// Output: 4000 true true
+}
--- a/rowstore/detour.go
+++ b/rowstore/detour.go
@@ -63,25 +63,30 @@
 
 // detour makes a call by the way that is more likely to work, and then by the other one.
 func detour[T any](d *Detour, call func(*Table) (T, error)) (T, error) {
-	tryDirect := d.directFirst()
-	if !tryDirect {
-		if out, tried, err := other(d, call); tried && !unavailable(err) {
+	var first error
+	if !d.directFirst() {
+		out, tried, err := other(d, call)
+		if tried && !unavailable(err) {
 			return out, err
 		}
+		first = err
 	}
 	out, err := call(d.Direct)
 	d.directDone(!unavailable(err))
-	if !unavailable(err) || !tryDirect {
+	if !unavailable(err) {
 		return out, err
 	}
-	again, tried, err2 := other(d, call)
+	if first != nil {
+		return out, doubtful(err, first)
+	}
+	again, tried, second := other(d, call)
 	switch {
 	case !tried:
 		return out, err
-	case unavailable(err2):
-		return out, doubtful(err, err2)
+	case unavailable(second):
+		return out, doubtful(err, second)
 	}
-	return again, err2
+	return again, second
 }
 
 // other makes a call through another process, if one is known and has not just failed.
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -217,7 +217,10 @@
 		if !w.open(now) || !w.hasLabel(t.step.spec.Label) || !needs.Fits(w.free()) {
 			continue
 		}
-		siblings := t.step.on(w)
+		siblings := 0
+		if t.step.spec.MaxPerWorker > 0 || t.step.spec.LongRunning {
+			siblings = t.step.on(w)
+		}
 		if m := t.step.spec.MaxPerWorker; m > 0 && siblings >= m {
 			continue
 		}
