--- a/machine/demand.go
+++ b/machine/demand.go
@@ -75,6 +75,9 @@
 // capacity returns the thousandths of cores of a pool's machines that are to stay there,
 // including those on the way to it.
 func (p *Planner) capacity(pool fleet.PoolID) int64 {
+	if p.staying != nil {
+		return p.staying[pool]
+	}
 	var sum int64
 	for _, m := range p.machines {
 		if m.heads() == pool && m.State != Down {
--- a/machine/moves.go
+++ b/machine/moves.go
@@ -37,7 +37,7 @@
 			if m == nil {
 				break
 			}
-			m.intent, m.since = &Order{Machine: m.ID, Pool: id}, now
+			p.intend(m, Order{Machine: m.ID, Pool: id}, now)
 		}
 	}
 	for _, id := range ids {
@@ -109,13 +109,7 @@
 
 // evenShare returns the capacity that each pool would have if all had the same. It does not
 // depend on what an earlier holder has moved.
-func (p *Planner) evenShare() int64 {
-	var sum int64
-	for _, m := range p.machines {
-		sum += m.Capacity.CPU
-	}
-	return sum / int64(max(1, len(p.pools)))
-}
+func (p *Planner) evenShare() int64 { return p.total / int64(max(1, len(p.pools))) }
 
 // inWave reports whether a machine waits for its upkeep.
 func (p *Planner) inWave(m *view) bool {
@@ -145,7 +139,7 @@
 		if now-v.surplus < surplusLasts {
 			return
 		}
-		m.intent, m.since = &Order{Machine: m.ID, Pool: p.spare}, now
+		p.intend(m, Order{Machine: m.ID, Pool: p.spare}, now)
 	}
 }
 
--- a/machine/planner.go
+++ b/machine/planner.go
@@ -39,6 +39,12 @@
 	waves    []*wave
 	listed   clock.Millis // when the list was read
 	hasList  bool
+	total    int64 // capacity of all machines
+
+	// Of one pass, since they are read again and again in it: the machines by id, and the
+	// capacity that each pool is to keep. Both are nil outside a pass.
+	byID    []*view
+	staying map[fleet.PoolID]int64
 }
 
 // view is what is known of a machine.
@@ -111,10 +117,13 @@
 		v.Machine = m
 		v.settle(now)
 	}
-	for id := range p.machines {
+	p.total = 0
+	for id, m := range p.machines {
 		if !present[id] {
 			delete(p.machines, id)
+			continue
 		}
+		p.total += m.Capacity.CPU
 	}
 }
 
@@ -184,9 +193,25 @@
 		return nil
 	}
 	p.dropStale(now)
+	p.byID = p.sorted()
+	p.staying = make(map[fleet.PoolID]int64, len(p.pools)+1)
+	for _, m := range p.byID {
+		if m.State != Down {
+			p.staying[m.heads()] += m.Capacity.CPU
+		}
+	}
 	p.planWaves(now)
 	p.planMoves(now)
-	return p.ready(now)
+	out := p.ready(now)
+	p.byID, p.staying = nil, nil
+	return out
+}
+
+// intend decides that a machine is to be emptied for an order.
+func (p *Planner) intend(m *view, o Order, now clock.Millis) {
+	p.staying[m.heads()] -= m.Capacity.CPU
+	m.intent, m.since = &o, now
+	p.staying[m.heads()] += m.Capacity.CPU
 }
 
 // dropStale gives up intents that can't be carried out.
@@ -232,7 +257,11 @@
 	return pool != nil && now-pool.at < loadFresh && m.reported && m.emptied
 }
 
+// sorted returns the machines by id.
 func (p *Planner) sorted() []*view {
+	if p.byID != nil {
+		return p.byID
+	}
 	out := make([]*view, 0, len(p.machines))
 	for _, m := range p.machines {
 		out = append(out, m)
--- a/machine/waves.go
+++ b/machine/waves.go
@@ -53,7 +53,7 @@
 		if m.intent != nil || m.State != Up || (!urgent && p.pressure(m, now) > 0) {
 			continue
 		}
-		m.intent, m.since = &Order{Machine: m.ID, Wave: w.Number}, now
+		p.intend(m, Order{Machine: m.ID, Wave: w.Number}, now)
 		open++
 	}
 }
