Give operators jobs, workers and waves on the platform

citronknot jobs submit|show|cancel, workers and waves, by text and JSON, through any member; the calls need the operators' credential. The harness of the hosted tests took ports that outgoing connections may get (TestPlannedStop failed once with 'address already in use'); it now counts through ports below them.

--- a/cmd/citronknotd/hosted.go
+++ b/cmd/citronknotd/hosted.go
@@ -20,8 +20,13 @@
 type hostedSettings struct {
 	File     string `long:"settings-file" env:"CITRONKNOT_NODE_FILE" required:"true" description:"file that the platform writes from deploy/settings.json"`
 	LogLevel string `long:"log-level" env:"CITRONKNOT_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of the log"`
+
+	Credential string `long:"operator-credential" env:"CITRONKNOT_OPERATOR_CREDENTIAL" default-mask:"-" description:"bearer credential of operators, 8 or more characters; without it their calls are refused"`
 }
 
+// minCredential is the least length of a credential, as for the product's own deployment.
+const minCredential = 8
+
 // runHosted runs the process on the users' platform and returns the exit code.
 func runHosted(args []string) int {
 	var s hostedSettings
@@ -37,6 +42,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
+	if s.Credential != "" && len(s.Credential) < minCredential {
+		fmt.Fprintln(os.Stderr, "citronknotd: setting operator-credential is not accepted; accepted: 8 or more characters")
+		return 2
+	}
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -45,7 +54,7 @@
 	out := hosted.NewLogWriter(os.Stdout)
 	defer out.Close()
 	log := hosted.NewLogger(out, level)
-	p := hosted.New(hosted.Config{Settings: settings, Log: log, Dropped: out.Dropped})
+	p := hosted.New(hosted.Config{Settings: settings, Log: log, Dropped: out.Dropped, Credential: s.Credential})
 	if err := p.Start(); err != nil {
 		log.Error("hosted: start failed", "err", err)
 		return 1
--- a/hosted/front.go
+++ b/hosted/front.go
@@ -233,8 +233,7 @@
 	}
 }
 
-// anywhere makes a call at the queue's pool and, if the job is not there, at the others that
-// can hold it.
+// anywhere answers a caller's call on a job.
 func (p *Process) anywhere(ctx context.Context, name string, c *platform.Call, f func(fleet.PoolID, job.ID) call) platform.Answer {
 	begun := time.Now()
 	l, ok := p.locate(c)
@@ -246,15 +245,23 @@
 	}
 	ctx, cancel := p.deadline(ctx, c)
 	defer cancel()
+	a := p.everywhere(ctx, l, f)
+	p.decided(name, l, a, begun)
+	return a
+}
+
+// everywhere makes a call at the queue's pool and, if the job is not there, at the others that
+// can hold it.
+func (p *Process) everywhere(ctx context.Context, l place, f func(fleet.PoolID, job.ID) call) platform.Answer {
 	a := p.perform(ctx, f(l.queue.Pool, l.id))
-	if a.Outcome == platform.OutcomeNoSuchJob {
-		for _, pool := range p.otherPools(l) {
-			if a = p.perform(ctx, f(pool, l.id)); a.Outcome != platform.OutcomeNoSuchJob {
-				break
-			}
+	if a.Outcome != platform.OutcomeNoSuchJob {
+		return a
+	}
+	for _, pool := range p.otherPools(l) {
+		if a = p.perform(ctx, f(pool, l.id)); a.Outcome != platform.OutcomeNoSuchJob {
+			return a
 		}
 	}
-	p.decided(name, l, a, begun)
 	return a
 }
 
--- a/hosted/harness_test.go
+++ b/hosted/harness_test.go
@@ -40,7 +40,10 @@
 	closed   bool
 }
 
-const key = "secret-of-alpha"
+const (
+	key        = "secret-of-alpha"
+	credential = "secret-of-operators"
+)
 
 // newSite starts members and workers of one pool.
 func newSite(t *testing.T, members, workers int) *site {
@@ -102,25 +105,38 @@
 	if os.Getenv("CITRONKNOT_TEST_LOG") != "" {
 		level = slog.LevelInfo
 	}
-	m.Process = hosted.New(hosted.Config{Settings: m.settings, Log: hosted.NewLogger(os.Stderr, level).With("at", name)})
+	m.Process = hosted.New(hosted.Config{Settings: m.settings, Log: hosted.NewLogger(os.Stderr, level).With("at", name), Credential: credential})
 	must.NoError(s.t, m.Start())
 	return m
 }
 
+// nextPort counts up through ports below those that the system gives to outgoing connections,
+// so that no other test takes a port between the choice and its use.
+var nextPort atomic.Uint32
+
+const (
+	firstPort = 18000
+	ports     = 12000
+)
+
 func freeAddress(t *testing.T) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	for range ports {
+		port := firstPort + (uint32(os.Getpid())*64+nextPort.Add(1))%ports
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			defer l.Close()
+			return netip.MustParseAddrPort(l.Addr().String())
+		}
+	}
+	t.Fatal("no free port")
+	return netip.AddrPort{}
 }
 
 // freePorts returns the first of two free ports in a row.
 func freePorts(t *testing.T) uint16 {
-	for range 50 {
-		a := freeAddress(t).Port()
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", a+1))
-		if err == nil {
-			_ = l.Close()
+	for range ports {
+		a, b := freeAddress(t).Port(), freeAddress(t).Port()
+		if b == a+1 {
 			return a
 		}
 	}
--- a/hosted/members.go
+++ b/hosted/members.go
@@ -41,6 +41,8 @@
 	mux.HandleFunc("GET /v1/pools/{pool}/jobs/{id}", p.serveOwner(p.serveState))
 	mux.HandleFunc("DELETE /v1/pools/{pool}/jobs/{id}", p.serveOwner(p.serveCancel))
 	mux.HandleFunc("GET /v1/pools/{pool}/queues/{queue}/pending", p.serveOwner(p.servePending))
+	mux.HandleFunc("GET /v1/pools/{pool}/state", p.servePoolState)
+	mux.HandleFunc("GET /v1/fleet/waves", p.serveWaves)
 	mux.HandleFunc("POST /v1/fleet/report", p.serveReport)
 	mux.HandleFunc("POST /v1/store", p.serveStore)
 	return mux
--- a/hosted/process.go
+++ b/hosted/process.go
@@ -50,6 +50,8 @@
 	Log      *slog.Logger
 	Clock    clock.Clock
 	Dropped  func() int64 // log lines that were dropped; nil counts none
+	// Credential of operators; without one their calls on jobs, workers and waves are refused.
+	Credential string
 }
 
 // Process is one member on the platform.
@@ -118,6 +120,7 @@
 	internal := http.NewServeMux()
 	internal.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	internal.HandleFunc("GET /debug/state", p.serveDump)
+	p.operatorRoutes(internal)
 	for _, l := range []struct {
 		name    string
 		address string
--- a/job/codec.go
+++ b/job/codec.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -48,9 +49,9 @@
 }
 
 type wireProgress struct {
-	State    string         `json:"state,omitempty"`
-	Finished int64          `json:"finished_ms,omitempty"`
-	Done     []string       `json:"done,omitempty"` // occurrence.step.first-last
+	State    string           `json:"state,omitempty"`
+	Finished int64            `json:"finished_ms,omitempty"`
+	Done     []string         `json:"done,omitempty"` // occurrence.step.first-last
 	Failures map[string][]int `json:"failures,omitempty"`
 }
 
@@ -82,6 +83,14 @@
 	if err := json.Unmarshal(text, &w); err != nil {
 		return nil, eris.Wrap(err, "job: decode")
 	}
+	j := w.job()
+	if err := j.Check(); err != nil {
+		return nil, err
+	}
+	return j, nil
+}
+
+func (w *wireJob) job() *Job {
 	j := &Job{
 		ID: ID(w.ID), Queue: fleet.QueueID(w.Queue), Team: fleet.TeamID(w.Team), Spec: w.Spec, Runs: w.Runs,
 		First: clock.Millis(w.First), Interval: clock.Millis(w.Interval), Accepted: clock.Millis(w.Accepted),
@@ -89,6 +98,20 @@
 	for _, s := range w.Steps {
 		j.Steps = append(j.Steps, decodeStep(s))
 	}
+	return j
+}
+
+// DecodeSubmission reads a job that is handed in under an id to a queue, in the form in which
+// jobs are kept. Fields that it does not know are faults, so that a slip is not lost.
+func DecodeSubmission(text []byte, id ID, queue fleet.QueueID) (*Job, error) {
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	var w wireJob
+	if err := d.Decode(&w); err != nil {
+		return nil, eris.Wrap(err, "job: decode")
+	}
+	j := w.job()
+	j.ID, j.Queue, j.Accepted = id, queue, 0
 	if err := j.Check(); err != nil {
 		return nil, err
 	}
--- a/machine/planner.go
+++ b/machine/planner.go
@@ -327,6 +327,14 @@
 	return out
 }
 
+// MachinesOf returns the number of machines that a wave names.
+func (p *Planner) MachinesOf(number int) int {
+	if w := p.wave(number); w != nil {
+		return len(w.Machines)
+	}
+	return 0
+}
+
 // Waves returns the states of the waves.
 func (p *Planner) Waves() map[int]WaveState {
 	out := make(map[int]WaveState, len(p.waves))
--- a/terminal/app.go
+++ b/terminal/app.go
@@ -104,6 +104,12 @@
 	add(instances, "list", "List instances with pool and phase", "citronknot instances list", &instancesListCommand{app: a})
 	add(instances, "drain", "Take an instance out of service", "citronknot instances drain t1", &drainCommand{app: a, drain: true})
 	add(instances, "return", "Return an instance to service", "citronknot instances return t1", &drainCommand{app: a})
+	jobs := add(root, "jobs", "Hand in, show and cancel jobs", "citronknot jobs show sort 5c0e7a21d94b36f8", &struct{}{})
+	add(jobs, "submit", "Hand in a job from a file", "citronknot jobs submit sort 5c0e7a21d94b36f8 examples/job.json", &jobSubmitCommand{app: a})
+	add(jobs, "show", "Show the state of a job", "citronknot jobs show sort 5c0e7a21d94b36f8", &jobShowCommand{app: a})
+	add(jobs, "cancel", "End a job", "citronknot jobs cancel sort 5c0e7a21d94b36f8", &jobCancelCommand{app: a})
+	add(root, "workers", "List the workers of all pools", "citronknot workers", &workersCommand{app: a})
+	add(root, "waves", "List waves of upkeep and their progress", "citronknot waves", &wavesCommand{app: a})
 	add(root, "dump", "Show the state of one process", "citronknot dump", &dumpCommand{app: a})
 	return p, failed
 }
