Describe how to get from a request's id to its cause

docs/OPERATIONS.md replaces OPERATING.md: what each line says, three kinds of failed requests with lines from a run, and what to expect after a failure. A complete job's line says how long it took and what its objective was; a refusal for a silent store says for how long.

--- a/owner/submit.go
+++ b/owner/submit.go
@@ -92,8 +92,10 @@
 		return o.inbox[j.ID], nil
 	case o.commitFrom != 0 && o.Clock.Now()-o.commitFrom > storeStalled:
 		// An outage that has lasted for long will rather last on: few retries are left to a caller.
-		after := min(retryStalledMost, max(retryStalled, o.Clock.Now()-o.commitFrom))
-		return nil, &RefusedError{Reason: "the store does not answer", Final: true, RetryAfter: after}
+		age := o.Clock.Now() - o.commitFrom
+		return nil, &RefusedError{
+			Reason: fmt.Sprintf("the store has not answered for %d ms", age), Final: true, RetryAfter: min(retryStalledMost, max(retryStalled, age)),
+		}
 	case len(o.queue) >= maxWaiting:
 		return nil, &RefusedError{Reason: "too many jobs wait for the store", Final: true, RetryAfter: retryStalled}
 	}
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"citronknot/clock"
@@ -280,7 +281,7 @@
 func (p *Pool) completeOccurrence(j *Job, _ *occurrence, now clock.Millis) {
 	j.complete++
 	if j.complete == j.Occurrences() && !j.state.Final() {
-		p.finish(j, job.Complete, "all tasks are done", now)
+		p.finish(j, job.Complete, fmt.Sprintf("all tasks are done after %d ms; the objective was %d ms", now-j.arrived, j.objective-j.arrived), now)
 	}
 }
 
--- a/terminal/docs_test.go
+++ b/terminal/docs_test.go
@@ -13,7 +13,7 @@
 // block a line "$ citronknot ..." is run, and the lines up to the next one are its output;
 // "..." stands for a success whose output differs each time.
 func TestDocumentedCommands(t *testing.T) {
-	for _, page := range []string{"README.md", "docs/OPERATING.md"} {
+	for _, page := range []string{"README.md", "docs/OPERATIONS.md"} {
 		t.Run(page, func(t *testing.T) {
 			t.Chdir("..")
 			text, err := os.ReadFile(page)
