End the wait of a new owner only under a certain tenure; model ownership and leases

The wait now ends only while no successor can exist, as a lapse already did. Sessions now end with their owner.

The model also led to stating the lease that a predecessor may have extended (mutant 6).

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -65,6 +65,7 @@
 	commitFrom clock.Millis           // when the commit under way began; 0 if there is none
 
 	ctx  context.Context // of the sessions; set by Run before there are any
+	wg   sync.WaitGroup  // the planner, the sessions and the orders under way
 	plan chan struct{}   // one buffered wake-up of the planner
 	save chan struct{}   // one buffered wake-up of the saver
 }
@@ -106,12 +107,11 @@
 	if err := o.load(ctx); err != nil {
 		return err
 	}
-	var wg sync.WaitGroup
-	wg.Go(func() { o.planner(ctx, &wg) })
+	o.wg.Go(func() { o.planner(ctx) })
 	err := o.saver(ctx)
 	cancel()
 	o.stop(err)
-	wg.Wait()
+	o.wg.Wait()
 	return err
 }
 
@@ -140,7 +140,7 @@
 }
 
 // planner carries out what the pool decides.
-func (o *Owner) planner(ctx context.Context, wg *sync.WaitGroup) {
+func (o *Owner) planner(ctx context.Context) {
 	ticker := time.NewTicker(tick.Duration())
 	defer ticker.Stop()
 	for {
@@ -151,12 +151,12 @@
 		case <-o.plan:
 		}
 		if o.authorized() {
-			o.carryOut(ctx, wg)
+			o.carryOut(ctx)
 		}
 	}
 }
 
-func (o *Owner) carryOut(ctx context.Context, wg *sync.WaitGroup) {
+func (o *Owner) carryOut(ctx context.Context) {
 	begun := time.Now()
 	o.mu.Lock()
 	now := o.Clock.Now()
@@ -169,7 +169,7 @@
 			o.pool.Answered(order, schedule.Refused, now)
 			continue
 		}
-		wg.Go(func() { o.order(ctx, s, order) })
+		o.wg.Go(func() { o.order(ctx, s, order) })
 	}
 	dirty := o.pool.Dirty()
 	o.mu.Unlock()
@@ -196,9 +196,10 @@
 }
 
 // settle lets recovered tasks start once every worker on which they could run has answered, or
-// its leases have ended.
+// its leases have ended. The latter says nothing if a successor may have looked at the worker
+// meanwhile and had an end forgotten that this owner never saw.
 func (o *Owner) settle(now clock.Millis) {
-	if o.pool.Settled() || (len(o.unproven) > 0 && now < o.settleAt) {
+	if o.pool.Settled() || (len(o.unproven) > 0 && (now < o.settleAt || !o.Tenure.Certain())) {
 		return
 	}
 	o.pool.Settle(now)
--- a/owner/workers.go
+++ b/owner/workers.go
@@ -93,7 +93,7 @@
 		Deposed:   o.deposed,
 	})
 	o.sessions[id] = s
-	go s.Run(sessionCtx)
+	o.wg.Go(func() { s.Run(sessionCtx) })
 }
 
 // change runs f under the lock if the session of this incarnation is still the current one.
--- a/worker/lease.go
+++ b/worker/lease.go
@@ -16,11 +16,20 @@
 	sentAt clock.Millis // own time of the newest extension
 }
 
-// hear takes in the worker's clock from an answer to a call sent at asked.
+// formerSlack is how much further than a lease's length from now a predecessor's extension can
+// reach: it computed the worker's clock from an answer of a second before, on a clock that runs
+// faster than the worker's.
+const formerSlack clock.Millis = 200
+
+// hear takes in the worker's clock from an answer to a call sent at asked. After the first
+// answer what runs there may still hold a lease that a predecessor extended just before.
 func (l *lease) hear(c, asked, now clock.Millis) {
 	if c <= l.clock && l.heard {
 		return
 	}
+	if !l.heard {
+		l.until = c + LeaseLength + formerSlack
+	}
 	l.heard, l.clock, l.at, l.asked = true, c, now, asked
 }
 
