--- a/cmd/citronknotd/hosted.go
+++ b/cmd/citronknotd/hosted.go
@@ -52,7 +52,7 @@
 		return 2
 	}
 	out := hosted.NewLogWriter(os.Stdout)
-	defer out.Close()
+	defer closeLog(out)
 	log := hosted.NewLogger(out, level)
 	p := hosted.New(hosted.Config{Settings: settings, Log: log, Dropped: out.Dropped, Credential: s.Credential})
 	if err := p.Start(); err != nil {
@@ -63,6 +63,13 @@
 	return 0
 }
 
+// closeLog writes what waits of the log.
+func closeLog(out *hosted.LogWriter) {
+	if err := out.Close(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+}
+
 // waitHosted dumps the state on SIGUSR1, reads the settings again on SIGHUP, and stops on
 // SIGTERM or SIGINT.
 func waitHosted(p *hosted.Process, file string, settings *platform.Settings, log *slog.Logger) {
--- a/machine/demand.go
+++ b/machine/demand.go
@@ -89,9 +89,9 @@
 
 // heads returns the pool that a machine is in or on its way to; a machine that is being emptied
 // for a move counts for where it goes.
-func (m *view) heads() fleet.PoolID {
-	if m.intent != nil && m.intent.Pool != "" {
-		return m.intent.Pool
+func (v *view) heads() fleet.PoolID {
+	if v.intent != nil && v.intent.Pool != "" {
+		return v.intent.Pool
 	}
-	return m.Pool
+	return v.Pool
 }
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -46,10 +46,10 @@
 	return &Ledger{limits: map[fleet.TeamID]job.Resources{}, pools: map[fleet.PoolID]*account{}, started: now}
 }
 
-// Limit returns a limit with [Unlimited] in the dimensions where cap has 0, and whether any
+// Limit returns a limit with [Unlimited] in the dimensions where most has 0, and whether any
 // dimension has a limit.
-func Limit(cap job.Resources) (limit job.Resources, limited bool) {
-	limit, limited = cap, cap != job.Resources{}
+func Limit(most job.Resources) (limit job.Resources, limited bool) {
+	limit, limited = most, most != job.Resources{}
 	for _, d := range []*int64{&limit.CPU, &limit.Memory, &limit.GPU} {
 		if *d == 0 {
 			*d = Unlimited
@@ -66,8 +66,8 @@
 		}
 	}
 	clear(l.limits)
-	for team, cap := range caps {
-		if limit, limited := Limit(cap); limited {
+	for team, most := range caps {
+		if limit, limited := Limit(most); limited {
 			l.limits[team] = limit
 		}
 	}
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -80,7 +80,6 @@
 	blockedBy  int // earlier steps that are not done
 	waiting    int // tasks in state waiting
 	done       int
-	failures   int  // of a gang as a whole
 	listed     bool // in Pool.ready
 }
 
