Serve queues with an adviser; follow the settings file

Cause: a deployment whose queues have an adviser would have got no task started: workers reject starts without its ticket. The settings file is read again every 5 s, since it may change without a signal.

--- a/cmd/citronknotd/hosted.go
+++ b/cmd/citronknotd/hosted.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
@@ -70,33 +71,49 @@
 	}
 }
 
-// waitHosted dumps the state on SIGUSR1, reads the settings again on SIGHUP, and stops on
-// SIGTERM or SIGINT.
+// waitHosted dumps the state on SIGUSR1, reads the settings again on SIGHUP and when the file
+// has changed, and stops on SIGTERM or SIGINT.
 func waitHosted(p *hosted.Process, file string, settings *platform.Settings, log *slog.Logger) {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	for sig := range signals {
-		switch sig {
-		case syscall.SIGUSR1:
-			if err := json.NewEncoder(os.Stderr).Encode(p.Dump()); err != nil {
-				log.Warn("hosted: dump not written", "err", err)
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			settings = reload(p, file, settings, "file", log)
+		case sig := <-signals:
+			switch sig {
+			case syscall.SIGUSR1:
+				if err := json.NewEncoder(os.Stderr).Encode(p.Dump()); err != nil {
+					log.Warn("hosted: dump not written", "err", err)
+				}
+			case syscall.SIGHUP:
+				settings = reload(p, file, settings, "signal", log)
+			default:
+				p.Shutdown()
+				return
 			}
-		case syscall.SIGHUP:
-			reload(p, file, settings, log)
-		default:
-			p.Shutdown()
-			return
 		}
 	}
 }
 
-// reload reads the settings again. Addresses take effect at the next start.
-func reload(p *hosted.Process, file string, old *platform.Settings, log *slog.Logger) {
+// settingsEvery is the time between looks at the settings file, which may change without a
+// signal.
+const settingsEvery = 5 * time.Second
+
+// reload reads the settings again and returns those in force. Addresses take effect at the
+// next start.
+func reload(p *hosted.Process, file string, old *platform.Settings, cause string, log *slog.Logger) *platform.Settings {
 	next, err := platform.ReadSettings(file)
 	if err != nil {
-		log.Error("hosted: settings not reloaded; the former ones stay in force", "err", err)
-		return
+		log.Error("hosted: settings not reloaded; the former ones stay in force", "cause", cause, "err", err)
+		return old
+	}
+	if *next == *old && cause == "file" {
+		return old
 	}
 	p.Reload(next)
-	log.Info("hosted: settings reloaded", "changed", *next != *old)
+	log.Info("hosted: settings reloaded", "cause", cause, "changed", *next != *old)
+	return next
 }
--- a/hosted/process.go
+++ b/hosted/process.go
@@ -23,6 +23,7 @@
 	"citronknot/owner"
 	"citronknot/platform"
 	"citronknot/rowstore"
+	"citronknot/schedule"
 	"citronknot/worker"
 )
 
@@ -39,6 +40,8 @@
 	memberConns  = 32
 	storeConns   = 16
 	machineConns = 8
+	// The adviser takes the calls of a member one after the other, and 32 of all may wait.
+	adviceConns = 2
 
 	// memoryShare is the part of the memory limit that the collector keeps the heap under.
 	memoryShare = 0.6
@@ -63,10 +66,12 @@
 	members      *memberClient
 	machines     machine.Calls // none where the platform has no service for machines
 	machinesSeen dependency
-	metrics      *metrics
-	catalog      atomic.Pointer[job.Catalog]
-	closing      atomic.Bool
-	crashed      atomic.Bool // by Close
+	// advise asks the adviser; nil where there is none.
+	advise  func(ctx context.Context, step string, workers []fleet.InstanceID) (schedule.Advice, error)
+	metrics *metrics
+	catalog atomic.Pointer[job.Catalog]
+	closing atomic.Bool
+	crashed atomic.Bool // by Close
 
 	mu       sync.Mutex
 	tenures  map[fleet.PoolID]*rowstore.Tenure
@@ -106,6 +111,9 @@
 	if s.MachinesAddr.IsValid() {
 		p.machines = platform.NewMachines(s.MachinesAddr, platform.NewHTTPClient(machineConns)).Calls()
 	}
+	if s.AdviceAddr.IsValid() {
+		p.advise = platform.NewAdviser(s.AdviceAddr, platform.NewHTTPClient(adviceConns)).Advise
+	}
 	p.machinesSeen.name = "machines"
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -29,6 +29,8 @@
 	KeepFinal clock.Millis // how long the state of a finished job can be read
 	// Terms returns what a queue promises its jobs.
 	Terms func(fleet.QueueID) (schedule.Terms, bool)
+	// Advise asks which workers may run a step; nil where there is no adviser.
+	Advise func(ctx context.Context, step string, workers []fleet.InstanceID) (schedule.Advice, error)
 	// Limited reports whether a team's running tasks are bounded.
 	Limited func(fleet.TeamID) bool
 }
@@ -164,6 +166,10 @@
 	orders := o.pool.Plan(now, o.Clock.Wall())
 	for i := range orders {
 		order := orders[i]
+		if order.Kind == schedule.Ask {
+			o.wg.Go(func() { o.ask(ctx, order) })
+			continue
+		}
 		s := o.sessions[order.Worker]
 		if s == nil || s.born != order.Born {
 			o.pool.Answered(order, schedule.Refused, now)
--- a/owner/report.go
+++ b/owner/report.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"slices"
 
 	"citronknot/clock"
@@ -8,6 +9,7 @@
 	"citronknot/job"
 	"citronknot/machine"
 	"citronknot/quota"
+	"citronknot/schedule"
 )
 
 // Report is what the holder of the fleet is told of a pool.
@@ -49,6 +51,22 @@
 
 func (o *Owner) limited(team fleet.TeamID) bool { return o.Limited != nil && o.Limited(team) }
 
+// ask asks the adviser about the workers of a step.
+func (o *Owner) ask(ctx context.Context, order schedule.Order) {
+	var a schedule.Advice
+	err := errNoAdviser
+	if o.Advise != nil {
+		a, err = o.Advise(ctx, order.Task.StepName(), order.Workers)
+	}
+	if err != nil && ctx.Err() == nil {
+		o.Log.Warn("owner: no advice", "step", order.Task.StepName(), "workers", len(order.Workers), "err", err)
+	}
+	o.mu.Lock()
+	o.pool.Advised(order, a, err == nil, o.Clock.Now())
+	o.mu.Unlock()
+	wake(o.plan)
+}
+
 // Direct takes in the answer to a report.
 func (o *Owner) Direct(d Direction) {
 	o.mu.Lock()
--- a/owner/save.go
+++ b/owner/save.go
@@ -304,4 +304,7 @@
 	o.Log.Info("owner: "+e.Kind, args...)
 }
 
-var errStopped = errors.New("owner: stopped")
+var (
+	errStopped   = errors.New("owner: stopped")
+	errNoAdviser = errors.New("owner: the queue needs an adviser, and the settings name none")
+)
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -11,6 +11,7 @@
 	Attempts int          // failures of a task until the job fails; 0 means 1
 	Stretch  float64      // part of the objective that grows with the chain
 	Slack    clock.Millis // part of the objective that does not
+	Advised  bool         // only workers that the adviser names may run a step
 }
 
 // Job is a job in the pool.
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -346,6 +346,8 @@
 		w.fullUntil = now + fullFor
 	case OldRun:
 		t.step.raise(t.run)
+	case BadTicket:
+		delete(t.step.advice.tickets, w)
 	case Refused:
 		w.failed(now)
 	}
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -14,10 +14,11 @@
 	Start OrderKind = iota + 1
 	Stop
 	Pace
+	Ask // the adviser which workers may run a step
 )
 
 func (k OrderKind) String() string {
-	return [...]string{"none", "start", "stop", "pace"}[k]
+	return [...]string{"none", "start", "stop", "pace", "ask"}[k]
 }
 
 // StopReason says why a task is stopped.
@@ -40,9 +41,11 @@
 	Born    clock.Millis
 	Task    job.Ref
 	Run     int
-	Spec    string // of the job, for a start
-	Saved   string // checkpoint to resume from, for a start
-	Percent int    // for a pace
+	Spec    string             // of the job, for a start
+	Saved   string             // checkpoint to resume from, for a start
+	Percent int                // for a pace
+	Ticket  string             // of the adviser, for a start
+	Workers []fleet.InstanceID // to ask about; the task names the step
 	Reason  StopReason
 }
 
@@ -53,6 +56,7 @@
 const (
 	Accepted   Outcome = iota + 1
 	NoRoom             // the worker has no room; nothing was done
+	BadTicket          // the adviser's ticket is not valid there; nothing was done
 	OldRun             // the worker has seen a run at least as high; nothing was done
 	Refused            // nothing was done, for another reason
 	Unanswered         // may have been done, or be done later
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -138,6 +138,9 @@
 }
 
 func (p *Pool) placeStep(s *stepRun, now clock.Millis) {
+	if s.job.terms.Advised {
+		p.ask(s, now)
+	}
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if t.state != waiting {
@@ -172,11 +175,15 @@
 	p.occupy(t, w, starting, now)
 	p.orders = append(p.orders, Order{
 		Kind: Start, Worker: w.ID, Born: w.Born, Task: t.ref(), Run: run, Spec: t.step.job.Spec, Saved: t.saved,
+		Ticket: t.step.advice.ticket(w),
 	})
 }
 
 // placeGang starts all tasks of a gang or none.
 func (p *Pool) placeGang(s *stepRun, now clock.Millis) {
+	if s.job.terms.Advised {
+		p.ask(s, now)
+	}
 	if s.waiting < len(s.tasks) || !p.allowed(s, int64(len(s.tasks))) {
 		return
 	}
@@ -217,6 +224,9 @@
 		if !w.open(now) || !w.hasLabel(t.step.spec.Label) || !needs.Fits(w.free()) {
 			continue
 		}
+		if t.step.job.terms.Advised && !t.step.advice.allows(w, now) {
+			continue
+		}
 		siblings := 0
 		if t.step.spec.MaxPerWorker > 0 || t.step.spec.LongRunning {
 			siblings = t.step.on(w)
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -81,6 +81,7 @@
 	waiting    int // tasks in state waiting
 	done       int
 	listed     bool // in Pool.ready
+	advice     advice
 }
 
 func (s *stepRun) finished() bool { return s.done == len(s.tasks) }
--- a/worker/calls.go
+++ b/worker/calls.go
@@ -22,6 +22,7 @@
 	Run        int
 	Spec       string
 	Saved      string       // checkpoint to resume from; empty for none
+	Ticket     string       // of the adviser; empty where none is needed
 	LeaseUntil clock.Millis // on the worker's clock, for all that runs there
 	Fence      uint64
 }
@@ -46,11 +47,12 @@
 	NoRoom                  // the worker has no capacity left
 	Unhealthy               // the worker did nothing
 	Invalid                 // the worker did not understand the order
+	TicketInvalid           // the adviser's ticket is missing or has ended
 	OtherIncarnation        // another incarnation lives at the address
 )
 
 func (r Result) String() string {
-	return [...]string{"none", "done", "fence_too_old", "run_too_old", "lease_too_old", "no_room", "unhealthy", "invalid", "other_incarnation"}[r]
+	return [...]string{"none", "done", "fence_too_old", "run_too_old", "lease_too_old", "no_room", "unhealthy", "invalid", "ticket_invalid", "other_incarnation"}[r]
 }
 
 // Answer is what a worker answered to an order.
--- a/worker/session.go
+++ b/worker/session.go
@@ -233,7 +233,7 @@
 		return Answer{Result: LeaseTooOld}, nil // the worker's clock is not known yet
 	}
 	return s.Calls.Start(ctx, s.Target, StartOrder{
-		Task: o.Task, Run: o.Run, Spec: o.Spec, Saved: o.Saved, LeaseUntil: until, Fence: s.Fence,
+		Task: o.Task, Run: o.Run, Spec: o.Spec, Saved: o.Saved, Ticket: o.Ticket, LeaseUntil: until, Fence: s.Fence,
 	})
 }
 
@@ -243,6 +243,8 @@
 		return schedule.Accepted
 	case NoRoom:
 		return schedule.NoRoom
+	case TicketInvalid:
+		return schedule.BadTicket
 	case RunTooOld:
 		return schedule.OldRun
 	case FenceTooOld:
