Notice demand and new workers sooner

Cause: a machine that moves is without a worker for 1.5 s, and up to 1 s more went by until demand was reported, decided on, and the new worker was found. Reports go out every 120 ms (250), the planner runs every 100 ms (200), the list of workers is read every 250 ms (500).

--- a/hosted/fleet.go
+++ b/hosted/fleet.go
@@ -28,10 +28,10 @@
 
 // Times of the holder of the fleet.
 const (
-	fleetTick   clock.Millis = 200  // between its decisions
+	fleetTick   clock.Millis = 100  // between its decisions
 	listBusy    clock.Millis = 500  // between readings of the machines while orders are under way
 	listIdle    clock.Millis = 2000 // the same while there are none
-	reportEvery clock.Millis = 250  // between the reports of a pool's owner
+	reportEvery clock.Millis = 120  // between the reports of a pool's owner
 	reportWait  clock.Millis = 700  // longest wait for the answer to a report
 	// lastOrderSlack is how much later than the term before a takeover the last order of the
 	// former holder can arrive.
--- a/hosted/process.go
+++ b/hosted/process.go
@@ -30,7 +30,7 @@
 // Times of a process.
 const (
 	tenurePoll clock.Millis = 250  // between readings of who holds the pools
-	workerPoll clock.Millis = 500  // between readings of the list of workers
+	workerPoll clock.Millis = 250  // between readings of the list of workers
 	configWait clock.Millis = 1000 // longest wait of one reading of the configuration
 	pollRetry  clock.Millis = 200  // after a failed reading
 
