--- a/rowstore/follower.go
+++ b/rowstore/follower.go
@@ -25,19 +25,39 @@
 }
 
 // Poll takes in the changes since the last call, and waits for one for at most wait. A first
-// call does not wait.
+// call does not wait. A page that is full is followed by the next one at once: with thousands of
+// workers more rows change between two calls than one page holds.
 func (f *Follower) Poll(ctx context.Context, wait clock.Millis) error {
 	if !f.synced {
 		return f.sync(ctx)
 	}
+	for range maxPages {
+		full, err := f.page(ctx, wait)
+		if err != nil || !full {
+			return err
+		}
+		wait = 0
+	}
+	return nil
+}
+
+// Bounds of one Poll: the rows from which a page may be one of several, below the 500 that the
+// service puts into one, and the pages of one call.
+const (
+	fullPage = 400
+	maxPages = 20
+)
+
+// page takes in one page of changes and reports whether another one may be there already.
+func (f *Follower) page(ctx context.Context, wait clock.Millis) (full bool, err error) {
 	page, err := f.Table.Feed(ctx, f.Name, f.after, wait)
 	var compacted *CompactedError
 	if errors.As(err, &compacted) {
 		f.synced = false
-		return f.sync(ctx)
+		return false, f.sync(ctx)
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	for _, r := range page.Rows {
 		f.take(r)
@@ -46,7 +66,7 @@
 		f.remove(ref)
 	}
 	f.after = max(f.after, page.Newest)
-	return nil
+	return len(page.Rows)+len(page.Gone) >= fullPage, nil
 }
 
 func (f *Follower) take(r Row) {
