Read only the settings that are used; do not blame workers for orders not sent

Starts that were not sent, or came too late for their lease, counted as faults of the worker; TestOrdersNotSentAreNoFault failed first.

--- a/hosted/harness_test.go
+++ b/hosted/harness_test.go
@@ -99,7 +99,7 @@
 	m.settings = &platform.Settings{
 		Member: fleet.MemberID(name), Zone: "z1", IP: netip.MustParseAddr("127.0.0.1"),
 		CallerAddr: freeAddress(s.t), ReadyAddr: freeAddress(s.t), PeerPort: first, MetricsPort: first + 1, MemoryMB: 512,
-		StoreAddr: netip.MustParseAddrPort(strings.TrimPrefix(gate.URL, "http://")), FarFactor: 3, KeepFinal: 120_000,
+		StoreAddr: netip.MustParseAddrPort(strings.TrimPrefix(gate.URL, "http://")), KeepFinal: 120_000,
 	}
 	level := slog.LevelError
 	if os.Getenv("CITRONKNOT_TEST_LOG") != "" {
--- a/job/catalog.go
+++ b/job/catalog.go
@@ -26,9 +26,9 @@
 
 // Advice says that an adviser names the workers that may run a step of a queue.
 type Advice struct {
-	Decide  clock.Millis // of one call
-	Each    clock.Millis // more for each worker asked about
-	ValidMS clock.Millis // how long an answer may be used
+	Decide clock.Millis // time of one call
+	Each   clock.Millis // more for each worker asked about
+	Valid  clock.Millis // how long an answer may be used
 }
 
 // Pool is a set of workers that serves queues.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -25,7 +25,6 @@
 	Clock     clock.Clock
 	Log       *slog.Logger
 	Metrics   *Metrics
-	FarFactor int
 	KeepFinal clock.Millis // how long the state of a finished job can be read
 	// Terms returns what a queue promises its jobs.
 	Terms func(fleet.QueueID) (schedule.Terms, bool)
@@ -172,7 +171,7 @@
 		}
 		s := o.sessions[order.Worker]
 		if s == nil || s.born != order.Born {
-			o.pool.Answered(order, schedule.Refused, now)
+			o.pool.Answered(order, schedule.NotSent, now)
 			continue
 		}
 		o.wg.Go(func() { o.order(ctx, s, order) })
--- a/owner/save.go
+++ b/owner/save.go
@@ -47,7 +47,7 @@
 	defer o.mu.Unlock()
 	now, wall := o.Clock.Now(), o.Clock.Wall()
 	o.pool = schedule.New(schedule.Config{
-		Pool: o.Pool, RunBase: int(o.Tenure.Fence()-1) * runsPerTenure, FarFactor: o.FarFactor,
+		Pool: o.Pool, RunBase: int(o.Tenure.Fence()-1) * runsPerTenure,
 		Limited: o.Limited, Note: o.note,
 	})
 	progress := map[job.ID]*job.Progress{}
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -45,7 +45,7 @@
 
 func (j *Job) attempts() int { return max(1, j.terms.Attempts) }
 
-// running lists the occurrences that are not complete.
+// eachStep calls f with each step of the occurrences that have begun.
 func (j *Job) eachStep(f func(*stepRun)) {
 	for _, o := range j.runs {
 		for _, s := range o.steps {
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -272,13 +272,15 @@
 			}
 		}
 		if o.left == 0 {
-			p.completeOccurrence(j, o, now)
+			p.completeOccurrence(j, now)
 		}
 		return
 	}
 }
 
-func (p *Pool) completeOccurrence(j *Job, _ *occurrence, now clock.Millis) {
+// completeOccurrence counts an occurrence of which all steps are done; the last one completes the
+// job.
+func (p *Pool) completeOccurrence(j *Job, now clock.Millis) {
 	j.complete++
 	if j.complete == j.Occurrences() && !j.state.Final() {
 		p.finish(j, job.Complete, fmt.Sprintf("all tasks are done after %d ms; the objective was %d ms", now-j.arrived, j.objective-j.arrived), now)
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -58,7 +58,8 @@
 	NoRoom             // the worker has no room; nothing was done
 	BadTicket          // the adviser's ticket is not valid there; nothing was done
 	OldRun             // the worker has seen a run at least as high; nothing was done
-	Refused            // nothing was done, for another reason
+	Refused            // the worker did nothing, for another reason
+	NotSent            // the order was not given, or came too late for its lease
 	Unanswered         // may have been done, or be done later
 )
 
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -375,7 +375,7 @@
 	return t.pace
 }
 
-// ranks returns the class of each waiting step, for the state dump.
+// waitingTasks counts the tasks that wait for a worker.
 func (p *Pool) waitingTasks() int {
 	n := 0
 	for _, s := range p.ready {
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -10,9 +10,8 @@
 
 // Config holds what a Pool is made from.
 type Config struct {
-	Pool      fleet.PoolID
-	RunBase   int // run numbers start above it; a later tenure has a higher base
-	FarFactor int // how many times as long a task takes away from its data; 0 means 1
+	Pool    fleet.PoolID
+	RunBase int // run numbers start above it; a later tenure has a higher base
 	// StartWait is how long a start may stay without an answer before it is withdrawn;
 	// 0 means 1000 ms.
 	StartWait clock.Millis
@@ -131,7 +130,7 @@
 		}
 	}
 	if o.left == 0 {
-		p.completeOccurrence(j, o, now)
+		p.completeOccurrence(j, now)
 	}
 }
 
--- a/schedule/rules_test.go
+++ b/schedule/rules_test.go
@@ -258,3 +258,20 @@
 		}
 	}
 }
+
+// Starts that were never sent counted as faults of their worker, which was then avoided.
+func TestOrdersNotSentAreNoFault(t *testing.T) {
+	for _, c := range []struct {
+		out    schedule.Outcome
+		starts int
+	}{{schedule.NotSent, 1}, {schedule.Refused, 0}} {
+		r := newRig(t, 1)
+		r.pool.Add(newJob(1, tasks(1)), terms, nil, 0, 0)
+		for range 3 {
+			for _, o := range r.plan(1) {
+				r.pool.Answered(o, c.out, r.now)
+			}
+		}
+		must.Len(t, c.starts, r.plan(1))
+	}
+}
--- a/worker/session.go
+++ b/worker/session.go
@@ -201,7 +201,7 @@
 // Order sends an order of the schedule once and returns its outcome.
 func (s *Session) Order(ctx context.Context, o schedule.Order) (schedule.Outcome, Result) {
 	if !s.Authorized() {
-		return schedule.Refused, 0
+		return schedule.NotSent, 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderWait.Duration())
 	defer cancel()
@@ -247,8 +247,11 @@
 		return schedule.BadTicket
 	case RunTooOld:
 		return schedule.OldRun
+	case LeaseTooOld:
+		return schedule.NotSent
 	case FenceTooOld:
 		s.Deposed()
+		return schedule.NotSent
 	}
 	return schedule.Refused
 }
