Add stand-ins of the machines' service and the adviser; count waiting jobs

Tests on loopback for a wave of upkeep (bound, evacuation of tasks that last, told as complete) and for a queue with an adviser. citronknot jobs waiting QUEUE counts the jobs that wait.

--- a/hosted/front.go
+++ b/hosted/front.go
@@ -293,7 +293,14 @@
 	}
 	ctx, cancel := p.deadline(ctx, c)
 	defer cancel()
-	a := p.perform(ctx, call{
+	a := p.perform(ctx, p.pendingCall(l))
+	p.decided("pending", l, a, begun)
+	return a
+}
+
+// pendingCall counts a queue's jobs of which no task has started.
+func (p *Process) pendingCall(l place) call {
+	return call{
 		name: "pending", pool: l.queue.Pool,
 		local: func(_ context.Context, o *owner.Owner) (platform.Answer, error) {
 			n, err := o.Pending(l.queue.ID)
@@ -303,9 +310,7 @@
 			n, err := p.members.pending(ctx, address, l.queue.Pool, l.queue.ID)
 			return platform.Answer{Outcome: platform.OutcomeDone, Pending: n}, err
 		},
-	})
-	p.decided("pending", l, a, begun)
-	return a
+	}
 }
 
 var outcomeNames = map[platform.Outcome]string{
--- a/hosted/harness_test.go
+++ b/hosted/harness_test.go
@@ -26,10 +26,13 @@
 
 // site is a small deployment on loopback.
 type site struct {
-	t       *testing.T
-	store   deployment.Store
-	members []*member
-	workers []*deployment.Worker
+	t        *testing.T
+	store    deployment.Store
+	machines deployment.Machines
+	adviser  deployment.Adviser
+	services [2]netip.AddrPort // of machines and of the adviser
+	members  []*member
+	workers  []*deployment.Worker
 }
 
 // member is one process with its own way to the store.
@@ -48,6 +51,12 @@
 // newSite starts members and workers of one pool.
 func newSite(t *testing.T, members, workers int) *site {
 	s := &site{t: t}
+	s.machines.Time = 300 * time.Millisecond
+	for i, h := range []http.Handler{&s.machines, &s.adviser} {
+		server := httptest.NewServer(h)
+		t.Cleanup(server.Close)
+		s.services[i] = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	}
 	s.configure(1)
 	for i := range workers {
 		w := &deployment.Worker{
@@ -56,8 +65,13 @@
 		}
 		must.NoError(t, w.Start())
 		s.workers = append(s.workers, w)
-		t.Cleanup(w.Crash)
+		s.machines.Add(w)
 	}
+	t.Cleanup(func() {
+		for _, w := range s.machines.Workers() {
+			w.Crash()
+		}
+	})
 	for i := range members {
 		s.members = append(s.members, s.start(fmt.Sprintf("member-%d", i)))
 	}
@@ -75,6 +89,7 @@
 	s.store.Put("op", "", "config", map[string]any{
 		"version": version,
 		"routes": []map[string]any{
+			{"name": "advised", "host": "sorting.example", "pathPrefix": "/advised/", "backend": "sorting", "attempts": 3, "advice": map[string]any{"decideMs": 5, "eachMs": 1, "validMs": 2000}},
 			{"name": "sort", "host": "sorting.example", "pathPrefix": "/sort/", "backend": "sorting", "attempts": 3, "stretch": 1.6, "sloMs": 600},
 		},
 		"backends": []map[string]any{{"name": "sorting", "admissionCheck": true}},
@@ -100,6 +115,7 @@
 		Member: fleet.MemberID(name), Zone: "z1", IP: netip.MustParseAddr("127.0.0.1"),
 		CallerAddr: freeAddress(s.t), ReadyAddr: freeAddress(s.t), PeerPort: first, MetricsPort: first + 1, MemoryMB: 512,
 		StoreAddr: netip.MustParseAddrPort(strings.TrimPrefix(gate.URL, "http://")), KeepFinal: 120_000,
+		MachinesAddr: s.services[0], AdviceAddr: s.services[1], MoveTime: 300, UpkeepTime: 300,
 	}
 	level := slog.LevelError
 	if os.Getenv("CITRONKNOT_TEST_LOG") != "" {
@@ -146,7 +162,7 @@
 
 // call makes a client's call at a member and returns the status and the fields of the answer.
 func (s *site) call(m *member, method, id, body string) (int, map[string]any) {
-	req, err := http.NewRequestWithContext(s.t.Context(), method, "http://"+m.settings.CallerAddr.String()+"/sort/"+id, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(s.t.Context(), method, "http://"+m.settings.CallerAddr.String()+queuePath(id), strings.NewReader(body))
 	must.NoError(s.t, err)
 	req.Host = "sorting.example"
 	req.Header.Set("X-Citronknot-Credential", key)
@@ -163,6 +179,14 @@
 	return resp.StatusCode, out
 }
 
+// queuePath returns the path of a job; ids of the advised queue begin with its name.
+func queuePath(id string) string {
+	if strings.HasPrefix(id, "advised/") {
+		return "/" + id
+	}
+	return "/sort/" + id
+}
+
 // until waits until f holds.
 func (s *site) until(limit time.Duration, what string, f func() bool) {
 	s.t.Helper()
--- a/hosted/operator.go
+++ b/hosted/operator.go
@@ -25,6 +25,7 @@
 	mux.HandleFunc("PUT /v1/queues/{queue}/jobs/{id}", p.authorized(p.operatorSubmit))
 	mux.HandleFunc("GET /v1/queues/{queue}/jobs/{id}", p.authorized(p.operatorState))
 	mux.HandleFunc("DELETE /v1/queues/{queue}/jobs/{id}", p.authorized(p.operatorCancel))
+	mux.HandleFunc("GET /v1/queues/{queue}", p.authorized(p.operatorQueue))
 	mux.HandleFunc("GET /v1/workers", p.authorized(p.operatorWorkers))
 	mux.HandleFunc("GET /v1/waves", p.authorized(p.operatorWaves))
 }
@@ -93,6 +94,22 @@
 	p.operatorAnswer(w, p.everywhere(ctx, l, f), l)
 }
 
+// operatorQueue tells how many jobs of a queue wait.
+func (p *Process) operatorQueue(w http.ResponseWriter, r *http.Request) {
+	l, ok := p.operatorPlace(w, r)
+	if !ok {
+		return
+	}
+	ctx, cancel := p.deadline(r.Context(), &platform.Call{})
+	defer cancel()
+	a := p.perform(ctx, p.pendingCall(l))
+	if a.Outcome != platform.OutcomeDone {
+		p.operatorAnswer(w, a, l)
+		return
+	}
+	writeJSON(w, operator.WireQueue{Queue: string(l.queue.ID), Pool: string(l.queue.Pool), Waiting: a.Pending})
+}
+
 // operatorAnswer answers a call on a job.
 func (p *Process) operatorAnswer(w http.ResponseWriter, a platform.Answer, l place) {
 	switch a.Outcome {
--- a/hosted/process_test.go
+++ b/hosted/process_test.go
@@ -208,3 +208,37 @@
 	s.complete(m, jobID(2), 10*time.Second)
 	must.SliceEmpty(t, deployment.Doubled(s.workers))
 }
+
+// A wave takes machines down within its bound, one after the other for tasks that last, and is
+// said to be complete when all are done.
+func TestWaveOfUpkeep(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 2, 4)
+	m := s.other()
+	lasting := `{"spec":"lasts","steps":[{"count":3,"cpu":500,"memMb":100,"longRunning":true,"maxPerServer":1,"mayMiss":1}]}`
+	s.submit(m, jobID(1), lasting)
+	s.store.Put("op", "", "wave/1", map[string]any{"wave": 1, "machines": []string{"m0", "m1", "m2", "m3"}, "durationS": 10, "cap": 2})
+	s.until(25*time.Second, "the wave is complete", func() bool {
+		text, _ := s.store.Get("status", "", "wave/1")
+		return string(text) == `{"state":"complete"}`
+	})
+	ids, most := s.machines.Upkept()
+	must.Len(t, 4, ids)
+	must.LessEq(t, 2, most)
+	must.SliceEmpty(t, deployment.Doubled(s.workers))
+	for _, w := range s.workers {
+		for _, r := range w.Runs() {
+			must.NotEq(t, "lost", r.How, must.Sprint("no task was cut by an upkeep"))
+		}
+	}
+}
+
+// A queue with an adviser runs its tasks where the adviser allows it.
+func TestAdvisedQueue(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 2, 3)
+	s.adviser.Good = []string{"w1"}
+	s.submit(s.other(), "advised/"+jobID(1), tasks(3, 100))
+	s.complete(s.other(), "advised/"+jobID(1), 10*time.Second)
+	must.Len(t, 3, s.workers[1].Runs())
+}
--- a/operator/jobs.go
+++ b/operator/jobs.go
@@ -14,6 +14,13 @@
 	State string `json:"state"`
 }
 
+// WireQueue answers GET /v1/queues/{queue}.
+type WireQueue struct {
+	Queue   string `json:"queue"`
+	Pool    string `json:"pool"`
+	Waiting int    `json:"waiting"` // jobs of which no task has started
+}
+
 // WireWorkers answers GET /v1/workers.
 type WireWorkers struct {
 	Workers []WireWorker `json:"workers"`
--- a/terminal/app.go
+++ b/terminal/app.go
@@ -108,6 +108,7 @@
 	add(jobs, "submit", "Hand in a job from a file", "citronknot jobs submit sort 5c0e7a21d94b36f8 examples/job.json", &jobSubmitCommand{app: a})
 	add(jobs, "show", "Show the state of a job", "citronknot jobs show sort 5c0e7a21d94b36f8", &jobShowCommand{app: a})
 	add(jobs, "cancel", "End a job", "citronknot jobs cancel sort 5c0e7a21d94b36f8", &jobCancelCommand{app: a})
+	add(jobs, "waiting", "Count the jobs of a queue that wait", "citronknot jobs waiting sort", &jobsWaitingCommand{app: a})
 	add(root, "workers", "List the workers of all pools", "citronknot workers", &workersCommand{app: a})
 	add(root, "waves", "List waves of upkeep and their progress", "citronknot waves", &wavesCommand{app: a})
 	add(root, "dump", "Show the state of one process", "citronknot dump", &dumpCommand{app: a})
--- a/terminal/jobs.go
+++ b/terminal/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/url"
 	"os"
 	"strings"
 
@@ -73,6 +74,20 @@
 	return a.print(w, fmt.Sprintf("job %s of queue %s is %s", w.ID, w.Queue, w.State))
 }
 
+type jobsWaitingCommand struct {
+	app  *app
+	Args struct {
+		Queue string `positional-arg-name:"QUEUE" required:"true" description:"queue of the jobs"`
+	} `positional-args:"true"`
+}
+
+// Execute counts the jobs of a queue that wait.
+func (c *jobsWaitingCommand) Execute([]string) error {
+	return query(c.app, "/v1/queues/"+url.PathEscape(c.Args.Queue), func(w operator.WireQueue) [][]any {
+		return [][]any{{"queue", w.Queue}, {"pool", w.Pool}, {"waiting", w.Waiting}}
+	})
+}
+
 type workersCommand struct{ app *app }
 
 // Execute lists the workers of all pools.
