--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint fmt model chaos measure capacity
+.PHONY: build demo test lint fmt model chaos measure capacity jobload
 
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
@@ -40,3 +40,7 @@
 	bin/capacity escrow
 	bin/capacity escrow --steady
 	bin/capacity claims
+
+# jobload drives hosted members on loopback with jobs; ARGS takes flags of cmd/jobload.
+jobload: build
+	bin/jobload $(ARGS)
--- a/schedule/rules_test.go
+++ b/schedule/rules_test.go
@@ -234,11 +234,18 @@
 	}
 }
 
-// BenchmarkStart places one task among 910 workers.
+// BenchmarkStart takes one job in, places its task and takes its end in. A pool has about 11
+// workers at the design size, 85 at the largest of the grown sites, and 910 if there is only one.
 func BenchmarkStart(b *testing.B) {
+	for _, workers := range []int{11, 85, 910} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) { benchmarkStart(b, workers) })
+	}
+}
+
+func benchmarkStart(b *testing.B, workers int) {
 	p := schedule.New(schedule.Config{Pool: "p"})
 	p.Settle(0)
-	for i := range 910 {
+	for i := range workers {
 		w := fleet.InstanceID(fmt.Sprintf("w%03d", i))
 		p.SetWorker(schedule.Worker{ID: w, Born: 1, Capacity: job.Resources{CPU: 16000, Memory: 32768}}, 0)
 		p.SetReachable(w, true)
