Do not take a worker out of use for one lost look

Looks wait 0.5 s (1.0) and 0.25 s more for the answer (0.7), orders 0.4 s (0.7); a worker is silent after two looks in a row.

--- a/worker/session.go
+++ b/worker/session.go
@@ -14,10 +14,10 @@
 // that a takeover ends no run.
 const (
 	LeaseLength clock.Millis = 4500
-	lookWait    clock.Millis = 1000 // longest wait of a look for an end
-	lookSlack   clock.Millis = 700  // a look without an answer after its wait and this is given up
-	orderWait   clock.Millis = 700  // longest wait for the answer to an order
-	retryWait   clock.Millis = 150  // between looks at a worker that does not answer
+	lookWait    clock.Millis = 500 // longest wait of a look for an end
+	lookSlack   clock.Millis = 250 // a look without an answer after its wait and this is given up
+	orderWait   clock.Millis = 400 // longest wait for the answer to an order
+	retryWait   clock.Millis = 150 // between looks at a worker that does not answer
 )
 
 // Config holds what a Session is made from.
@@ -57,6 +57,7 @@
 	forget    int64     // highest number of an end that is durable, with all before it
 	pending   []pending // reported ends that are not known to be durable
 	reachable bool
+	failures  int // looks without an answer in a row
 	lapsed    bool
 }
 
@@ -95,7 +96,7 @@
 	}
 	if err != nil {
 		s.unanswered(now, err)
-		sleep(ctx, retryWait)
+		s.rest(ctx)
 		return true
 	}
 	switch {
@@ -132,7 +133,9 @@
 	// has gone silent must come.
 	if s.lease.heard && s.reachable {
 		o.LeaseUntil = s.lease.extend(LeaseLength, now)
-		o.Wait = lookWait
+		if s.failures == 0 {
+			o.Wait = lookWait
+		}
 	}
 	return o
 }
@@ -141,7 +144,7 @@
 	s.mu.Lock()
 	s.lease.hear(c, asked, now)
 	was := s.reachable
-	s.reachable, s.lapsed = true, false
+	s.reachable, s.lapsed, s.failures = true, false, 0
 	s.mu.Unlock()
 	if !was {
 		s.Reachable(true)
@@ -152,11 +155,13 @@
 func (s *Session) unanswered(now clock.Millis, err error) {
 	s.mu.Lock()
 	was := s.reachable
-	s.reachable = false
+	s.failures++
+	s.reachable = was && s.failures < silentLooks
+	silent := was && !s.reachable
 	ends := s.lease.endsBy()
 	lapsed := !s.lapsed && s.lease.heard && now > ends
 	s.mu.Unlock()
-	if was {
+	if silent {
 		s.Log.Warn("worker: no answer", "worker", s.Target.ID, "lease_ends_in_ms", int64(ends-now), "err", err)
 		s.Reachable(false)
 	}
@@ -167,6 +172,20 @@
 	}
 }
 
+// silentLooks is the number of looks in a row without an answer from which a worker counts as
+// silent. Single answers get lost, and meanwhile the worker goes on working.
+const silentLooks = 2
+
+// rest waits before the next look at a worker that is silent.
+func (s *Session) rest(ctx context.Context) {
+	s.mu.Lock()
+	silent := !s.reachable
+	s.mu.Unlock()
+	if silent {
+		sleep(ctx, retryWait)
+	}
+}
+
 // fresh returns the ends that were not reported before, and the highest number listed.
 func (s *Session) fresh(ended []End) ([]schedule.EndReport, int64) {
 	s.mu.Lock()
