--- a/hosted/process.go
+++ b/hosted/process.go
@@ -81,7 +81,8 @@
 	workers  map[fleet.InstanceID]*platform.Registration
 	scanned  bool // the list of workers was read
 	waves    map[int]seenWave
-	holder   *fleetHolder // nil if this member does not hold the fleet
+	avoid    map[string]clock.Millis // members that could not reach the store, until when
+	holder   *fleetHolder            // nil if this member does not hold the fleet
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -104,7 +105,7 @@
 		Config: c, direct: store.Table(), calls: platform.NewWorkers(platform.NewHTTPClient(workerConns)).Calls(),
 		members: &memberClient{http: platform.NewHTTPClient(memberConns)}, metrics: newMetrics(c.Dropped),
 		tenures: map[fleet.PoolID]*rowstore.Tenure{}, owners: map[fleet.PoolID]*owned{}, vacant: map[fleet.PoolID]clock.Millis{},
-		formerly: map[fleet.QueueID][]fleet.PoolID{}, workers: map[fleet.InstanceID]*platform.Registration{}, waves: map[int]seenWave{},
+		formerly: map[fleet.QueueID][]fleet.PoolID{}, workers: map[fleet.InstanceID]*platform.Registration{}, waves: map[int]seenWave{}, avoid: map[string]clock.Millis{},
 	}
 	detour := &rowstore.Detour{Direct: p.direct, Other: p.relayed, Clock: c.Clock, Used: p.metrics.detours.Inc}
 	p.table = detour.Table()
--- a/hosted/relay.go
+++ b/hosted/relay.go
@@ -23,25 +23,45 @@
 // relayed returns the store through another member, or nil if none is known. A member that the
 // store turns away keeps its pools that way.
 func (p *Process) relayed() *rowstore.Table {
+	now := p.Clock.Now()
 	p.mu.Lock()
-	var addresses []string
+	var addresses, failed []string
 	for _, t := range p.tenures {
-		if h := t.Holder(); h.Address != "" && h.Address != p.memberAddress() {
+		h := t.Holder()
+		switch {
+		case h.Address == "" || h.Address == p.memberAddress():
+		case now < p.avoid[h.Address]:
+			failed = append(failed, h.Address)
+		default:
 			addresses = append(addresses, h.Address)
 		}
 	}
 	p.mu.Unlock()
+	if len(addresses) == 0 {
+		addresses = failed
+	}
 	if len(addresses) == 0 {
 		return nil
 	}
-	r := &relay{members: p.members, address: addresses[rand.IntN(len(addresses))]}
+	r := &relay{members: p.members, address: addresses[rand.IntN(len(addresses))], failed: p.avoidRelay}
 	return &rowstore.Table{Transact: r.transact, Read: r.read, Parts: r.parts, Feed: r.feed}
 }
 
+// avoidFor is how long a member is not asked again after it could not reach the store.
+const avoidFor clock.Millis = 2000
+
+// avoidRelay notes that a member could not reach the store.
+func (p *Process) avoidRelay(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.avoid[address] = p.Clock.Now() + avoidFor
+}
+
 // relay speaks to the store through one member.
 type relay struct {
 	members *memberClient
 	address string
+	failed  func(address string)
 }
 
 type wireRow struct {
@@ -117,8 +137,12 @@
 	}
 	var out wireOutcome
 	if err := r.members.callInto(ctx, http.MethodPost, "http://"+r.address+"/v1/store", text, &out); err != nil {
+		r.failed(r.address)
 		return nil, &rowstore.UnavailableError{Op: c.Op + " through " + r.address, Maybe: c.Op == "transact", Err: err}
 	}
+	if out.Failed != "" {
+		r.failed(r.address)
+	}
 	return &out, out.err(c)
 }
 
