Spare the next worker of a machine whose move is sent again

The move was sent again and answered; the planner named the next worker as ended, its pool took its runs for lost and started them again. The planner now remembers the worker and the pool of the first sending, takes an arrival in the list for the answer, and does not cordon the next worker. TestMoveSentAgainSparesTheNextWorker fails with the former rules put back.

--- a/hosted/fleet.go
+++ b/hosted/fleet.go
@@ -268,8 +268,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.busy--
-	pool := h.planner.PoolOf(o.Machine)
-	if ended := h.planner.Answered(o, result, err == nil, h.p.Clock.Now()); ended != "" {
+	if pool, ended := h.planner.Answered(o, result, err == nil, h.p.Clock.Now()); ended != "" {
 		h.ended[pool] = append(h.ended[pool], ended)
 	}
 }
--- a/machine/planner.go
+++ b/machine/planner.go
@@ -54,8 +54,10 @@
 	since    clock.Millis // of the intent
 	ordered  bool         // the order was sent and may have been carried out
 	sentAt   clock.Millis
-	unsure   bool  // the order was not answered; it is sent again until it is
-	downFor  *wave // whose upkeep it is down for
+	ending   fleet.InstanceID // worker that ran when the order was first sent; empty for none
+	from     fleet.PoolID     // pool that the machine was in then
+	unsure   bool             // the order was not answered; it is sent again until it is
+	downFor  *wave            // whose upkeep it is down for
 	tasks    int
 	lasting  int
 	emptied  bool
@@ -129,9 +131,11 @@
 
 // settle ends an order that the list shows as carried out.
 func (v *view) settle(now clock.Millis) {
-	if !v.ordered || v.unsure || v.State != Up || now-v.sentAt < orderSettles {
+	arrived := v.intent != nil && v.intent.Pool != "" && v.Pool == v.intent.Pool
+	if !v.ordered || v.State != Up || (v.unsure && !arrived) || (!v.unsure && now-v.sentAt < orderSettles) {
 		return
 	}
+	v.unsure = false
 	v.intent, v.ordered, v.downFor = nil, false, nil
 }
 
@@ -179,7 +183,7 @@
 func (p *Planner) Cordons(pool fleet.PoolID) []fleet.InstanceID {
 	var out []fleet.InstanceID
 	for _, m := range p.machines {
-		if m.Pool == pool && m.intent != nil && m.Worker != "" {
+		if m.Pool == pool && m.intent != nil && m.Worker != "" && (!m.ordered || m.Worker == m.ending) {
 			out = append(out, m.Worker)
 		}
 	}
@@ -242,7 +246,7 @@
 			}
 			m.downFor = w
 		}
-		m.ordered, m.sentAt = true, now
+		m.ordered, m.sentAt, m.ending, m.from = true, now, m.Worker, m.Pool
 		out = append(out, *m.intent)
 	}
 	return out
@@ -280,28 +284,23 @@
 }
 
 // Answered takes in the answer to an order; ok is false if there was none. It returns the
-// worker that has ended with the order, or an empty id.
-func (p *Planner) Answered(o Order, r Result, ok bool, now clock.Millis) (ended fleet.InstanceID) {
+// worker that has ended with the order and its pool, or empty ids. That is the one that ran when
+// the order was first sent: an order that is sent again may find its successor.
+func (p *Planner) Answered(o Order, r Result, ok bool, now clock.Millis) (pool fleet.PoolID, ended fleet.InstanceID) {
 	m := p.machines[o.Machine]
 	if m == nil || m.intent == nil || *m.intent != o {
-		return ""
+		return "", ""
 	}
 	if m.unsure = !ok; !ok {
-		return ""
+		return "", ""
 	}
 	w := m.downFor
 	if r == Done {
 		if w != nil {
 			w.done[m.ID] = true
 		}
-		m.ordered, m.sentAt = true, now
-		if o.Pool != "" {
-			m.State, m.Pool = Moving, o.Pool
-		} else {
-			m.State = InUpkeep
-		}
-		ended, m.Worker = m.Worker, ""
-		return ended
+		m.carriedOut(now)
+		return m.from, m.ending
 	}
 	m.ordered, m.downFor = false, nil
 	if r == NotOfWave && w != nil {
@@ -310,7 +309,21 @@
 	if r != Limited {
 		m.intent = nil
 	}
-	return ""
+	return "", ""
+}
+
+// carriedOut notes that the order of a machine was carried out, now or when it was first sent.
+func (v *view) carriedOut(now clock.Millis) {
+	v.ordered, v.sentAt = true, now
+	if v.Worker != v.ending {
+		return // the list shows the next worker already
+	}
+	v.Worker = ""
+	if v.intent.Pool != "" {
+		v.State, v.Pool = Moving, v.intent.Pool
+	} else {
+		v.State = InUpkeep
+	}
 }
 
 // DoneOf returns the machines of a wave whose upkeep has begun.
@@ -347,14 +360,6 @@
 	return out
 }
 
-// PoolOf returns the pool that a machine is in.
-func (p *Planner) PoolOf(id ID) fleet.PoolID {
-	if m := p.machines[id]; m != nil {
-		return m.Pool
-	}
-	return ""
-}
-
 // Busy reports whether a machine is about to change.
 func (p *Planner) Busy() bool {
 	for _, m := range p.machines {
--- a/machine/planner_test.go
+++ b/machine/planner_test.go
@@ -200,3 +200,34 @@
 		p.Plan(2)
 	}
 }
+
+// A move was carried out and not answered. Sent again, it was answered when the machine ran the
+// next worker in its new pool: that worker was reported as ended, and its tasks ran twice.
+func TestMoveSentAgainSparesTheNextWorker(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		w := newWorld(t, 1, 2, 1)
+		w.active["a"] = 40_000
+		var move machine.Order
+		for _, o := range w.round() {
+			if o.Machine == "spare0" {
+				move = o
+			}
+		}
+		must.Eq(t, fleet.PoolID("a"), move.Pool)
+		w.planner.Answered(move, 0, false, w.now)
+		w.now += 2000
+		for i := range w.machines {
+			if w.machines[i].ID == "spare0" {
+				w.machines[i].Pool, w.machines[i].Worker = "a", "next"
+			}
+		}
+		if listed {
+			w.report()
+		}
+		w.planner.Plan(w.now)
+		w.report()
+		pool, ended := w.planner.Answered(move, machine.Done, true, w.now)
+		must.Eq(t, "", ended, must.Sprint(pool))
+		must.SliceNotContains(t, w.planner.Cordons("a"), "next")
+	}
+}
