Pass the end of a worker on only while its successor can't run

A successor may have the same id: an end that is passed on late, or of an order that was sent again, could name it. Ends are passed on for 1 s, and not for orders that were sent again; the owner then finds out by itself.

--- a/hosted/fleet.go
+++ b/hosted/fleet.go
@@ -56,8 +56,8 @@
 	mu      sync.Mutex
 	planner *machine.Planner
 	ledger  *quota.Ledger
-	ended   map[fleet.PoolID][]fleet.InstanceID // by orders, since the pool's last report
-	busy    int                                 // orders under way
+	ended   map[fleet.PoolID][]endedWorker // by orders, since the pool's last report
+	busy    int                            // orders under way
 	listAt  clock.Millis
 	saved   map[int]int // machines of a wave that are known durably
 	told    map[int]machine.WaveState
@@ -70,7 +70,7 @@
 	h := &fleetHolder{
 		p: p, tenure: t, calls: p.machines, from: now + p.Settings.HolderLeaseMin + lastOrderSlack, cancel: cancel, done: make(chan struct{}),
 		planner: machine.NewPlanner(machine.Config{MoveTime: p.Settings.MoveTime, UpkeepTime: p.Settings.UpkeepTime}),
-		ledger:  quota.New(now), ended: map[fleet.PoolID][]fleet.InstanceID{}, saved: map[int]int{}, told: map[int]machine.WaveState{},
+		ledger:  quota.New(now), ended: map[fleet.PoolID][]endedWorker{}, saved: map[int]int{}, told: map[int]machine.WaveState{},
 	}
 	if t.Fence() == 1 {
 		h.from = now // nobody has held the fleet before
@@ -269,7 +269,7 @@
 	defer h.mu.Unlock()
 	h.busy--
 	if pool, ended := h.planner.Answered(o, result, err == nil, h.p.Clock.Now()); ended != "" {
-		h.ended[pool] = append(h.ended[pool], ended)
+		h.ended[pool] = append(h.ended[pool], endedWorker{id: ended, at: h.p.Clock.Now()})
 	}
 }
 
@@ -321,13 +321,34 @@
 	defer h.mu.Unlock()
 	h.planner.SetLoad(r.PoolLoad, now)
 	d := owner.Direction{
-		Cordon: h.planner.Cordons(r.Pool), Ended: h.ended[r.Pool],
+		Cordon: h.planner.Cordons(r.Pool), Ended: h.endedOf(r.Pool, now),
 		Allowances: h.ledger.Report(r.Pool, r.Fence, r.Teams, now),
 	}
 	delete(h.ended, r.Pool)
 	return d
 }
 
+// endedWorker is a worker that ended by an order.
+type endedWorker struct {
+	id fleet.InstanceID
+	at clock.Millis
+}
+
+// endedFresh is how long an end is passed on: less than a machine takes to run the next worker,
+// which may have the same id.
+const endedFresh clock.Millis = 1000
+
+// endedOf returns the workers of a pool that have just ended. h is locked.
+func (h *fleetHolder) endedOf(pool fleet.PoolID, now clock.Millis) []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	for _, e := range h.ended[pool] {
+		if now-e.at < endedFresh {
+			ids = append(ids, e.id)
+		}
+	}
+	return ids
+}
+
 // reportPools reports the own pools to the holder of the fleet.
 func (p *Process) reportPools(ctx context.Context) {
 	d := dependency{name: "holder of the fleet"}
--- a/machine/planner.go
+++ b/machine/planner.go
@@ -284,13 +284,14 @@
 }
 
 // Answered takes in the answer to an order; ok is false if there was none. It returns the
-// worker that has ended with the order and its pool, or empty ids. That is the one that ran when
-// the order was first sent: an order that is sent again may find its successor.
+// worker that has ended with the order and its pool. It returns empty ids for an order that was
+// sent again: when the worker ended is not known, and its successor may run already.
 func (p *Planner) Answered(o Order, r Result, ok bool, now clock.Millis) (pool fleet.PoolID, ended fleet.InstanceID) {
 	m := p.machines[o.Machine]
 	if m == nil || m.intent == nil || *m.intent != o {
 		return "", ""
 	}
+	again := m.unsure
 	if m.unsure = !ok; !ok {
 		return "", ""
 	}
@@ -300,6 +301,9 @@
 			w.done[m.ID] = true
 		}
 		m.carriedOut(now)
+		if again {
+			return "", "" // the next worker may run already, under the same id
+		}
 		return m.from, m.ending
 	}
 	m.ordered, m.downFor = false, nil
