--- a/cmd/jobload/drive.go
+++ b/cmd/jobload/drive.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"text/tabwriter"
 	"time"
 
 	"citronknot/fleet"
@@ -202,7 +203,8 @@
 }
 
 // print writes the result as a table.
-func (r *result) print(w io.Writer) {
+func (r *result) print(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	slices.Sort(r.times)
 	at := func(share float64) time.Duration {
 		if len(r.times) == 0 {
@@ -224,9 +226,14 @@
 		{"time, 95th", at(0.95)},
 		{"time, longest", at(1)},
 	} {
-		fmt.Fprintf(w, "%-14s %v\n", row.name, row.value)
+		if _, err := fmt.Fprintf(w, "%s\t%v\n", row.name, row.value); err != nil {
+			return err
+		}
 	}
 	for _, line := range r.doubled {
-		fmt.Fprintln(w, line)
+		if _, err := fmt.Fprintln(w, line); err != nil {
+			return err
+		}
 	}
+	return w.Flush()
 }
--- a/cmd/jobload/main.go
+++ b/cmd/jobload/main.go
@@ -74,7 +74,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), o.Duration+time.Minute)
 	defer cancel()
 	r := d.drive(ctx)
-	r.print(os.Stdout)
+	if err := r.print(os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
 	if r.lost > 0 || len(r.doubled) > 0 {
 		return 1
 	}
