--- a/worker/session_test.go
+++ b/worker/session_test.go
@@ -60,14 +60,14 @@
 				return 0
 			}
 			ctx, cancel := context.WithCancel(t.Context())
-			go s.Run(ctx)
+			ended := run(ctx, s)
 			time.Sleep(250 * time.Millisecond)
 			w.mu.Lock()
 			w.lose = c.lose
 			w.mu.Unlock()
 			time.Sleep(4 * time.Second)
 			cancel()
-			synctest.Wait()
+			<-ended
 			must.Eq(t, c.reports, told)
 			if c.lose == 1 {
 				var longest time.Duration
@@ -88,7 +88,7 @@
 		lapsed := make(chan time.Time, 1)
 		s := session(w, lapsed)
 		ctx, cancel := context.WithCancel(t.Context())
-		go s.Run(ctx)
+		ended := run(ctx, s)
 		time.Sleep(110 * time.Millisecond) // the first look is answered, the second is under way
 		w.mu.Lock()
 		w.cut = true
@@ -101,10 +101,20 @@
 			t.Error("the lease never ended")
 		}
 		cancel()
-		synctest.Wait()
+		<-ended
 	})
 }
 
+// run keeps a session and returns what is closed when it has ended.
+func run(ctx context.Context, s *worker.Session) chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.Run(ctx)
+	}()
+	return ended
+}
+
 func session(w *silent, lapsed chan time.Time) *worker.Session {
 	return worker.NewSession(worker.Config{
 		Calls: worker.Calls{Look: w.look}, Fence: 1, Log: slog.New(slog.DiscardHandler),
@@ -124,7 +134,7 @@
 		lapsed := make(chan time.Time, 1)
 		s := session(w, lapsed)
 		ctx, cancel := context.WithCancel(t.Context())
-		go s.Run(ctx)
+		ended := run(ctx, s)
 		time.Sleep(time.Second)
 		w.mu.Lock()
 		w.cut = true
@@ -139,6 +149,6 @@
 			t.Error("the lease never ended")
 		}
 		cancel()
-		synctest.Wait()
+		<-ended
 	})
 }
