Count a zone as looked at when its first look finds it live

Cause: zones.update noted a zone only when its state changed from false, the value of a zone that was never looked at. A member whose term began before its first look, or that read a new zone's assignment before the next look, never noted it; stale() then kept the zone out of routing until the term lapsed once. TestLoopback waited 15 s for it: three requests ended after their 5 s with "deadline passed while waiting", with 4 targets serving and 0 slots in the dump. Ruled out: admission, escrow and the targets (portions were never asked for), slow start under load (the assignment was applied after 1 s). Change: the first look always counts as a change.

--- a/entry/zone.go
+++ b/entry/zone.go
@@ -64,7 +64,7 @@
 		if id == z.own {
 			lapsed = !live
 		}
-		if z.lapsed[id] != lapsed {
+		if was, looked := z.lapsed[id]; !looked || was != lapsed {
 			if z.lapsed == nil {
 				z.lapsed = map[fleet.ZoneID]bool{}
 			}
