Keep workers in the order of their free processor time

Cause: choose looked at every worker of the pool for every start, and a pass looked at all of them again to pace and to empty them. Change: a sorted index for tasks that are packed; passes skip pacing without tasks that fill and emptying without workers that leave.

--- a/schedule/load.go
+++ b/schedule/load.go
@@ -92,6 +92,16 @@
 			p.note(Event{Kind: kind, Worker: w.ID})
 		}
 	}
+	p.countLeaving()
+}
+
+func (p *Pool) countLeaving() {
+	p.leaving = 0
+	for _, w := range p.order {
+		if w.cordoned || w.Draining {
+			p.leaving++
+		}
+	}
 }
 
 // emptyWait is how long tasks that save their progress may go on on a worker that is to be
@@ -101,6 +111,9 @@
 // emptyAll stops what would keep cordoned workers from getting empty, and moves what would be
 // cut when a worker leaves.
 func (p *Pool) emptyAll(now clock.Millis) {
+	if p.leaving == 0 {
+		return
+	}
 	for _, w := range p.order {
 		if (w.cordoned || w.Draining) && w.reachable && len(w.tasks) > 0 {
 			p.empty(w, now)
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -19,17 +19,23 @@
 		w = nil
 	}
 	if w == nil {
-		w = &worker{tasks: map[*task]bool{}}
+		w = &worker{Worker: Worker{ID: d.ID}, tasks: map[*task]bool{}, rooms: &p.rooms}
 		p.workers[d.ID] = w
-		p.order = append(p.order, w)
+		i, _ := slices.BinarySearchFunc(p.order, d.ID, func(o *worker, id fleet.InstanceID) int { return cmp.Compare(o.ID, id) })
+		p.order = slices.Insert(p.order, i, w)
+		p.rooms.add(w)
 		p.note(Event{Kind: "worker_found", Worker: d.ID})
 	}
 	if d.Draining && !w.Draining {
 		p.note(Event{Kind: "worker_draining", Worker: d.ID})
 	}
+	changed := d.Draining != w.Draining
 	w.Worker = d
 	w.lost = false
-	slices.SortFunc(p.order, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	p.rooms.update(w)
+	if changed {
+		p.countLeaving()
+	}
 }
 
 // Unlist says that a worker's entry is gone. What runs on it may run on until its lease ends.
@@ -49,6 +55,8 @@
 	}
 	delete(p.workers, id)
 	p.order = slices.DeleteFunc(p.order, func(o *worker) bool { return o == w })
+	p.rooms.remove(w)
+	p.countLeaving()
 	p.note(Event{Kind: "worker_lost", Worker: id, Detail: why})
 	p.emptied(w, now)
 }
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -220,7 +220,13 @@
 	var best *worker
 	var bestCost int64
 	needs := t.needs()
-	for _, w := range p.order {
+	spec := t.step.spec
+	packed := !spec.Fills && !spec.LongRunning
+	candidates := p.order
+	if packed {
+		candidates = p.rooms.from(needs.CPU)
+	}
+	for _, w := range candidates {
 		if !w.open(now) || !w.hasLabel(t.step.spec.Label) || !needs.Fits(w.free()) {
 			continue
 		}
@@ -238,6 +244,9 @@
 		if best == nil || cost < bestCost {
 			best, bestCost = w, cost
 		}
+		if packed && bestCost < costSibling {
+			break // no reason against it, and those that follow have more room
+		}
 	}
 	return best
 }
@@ -328,6 +337,9 @@
 
 // paceAll slows tasks that fill on workers whose tasks that serve come near their target.
 func (p *Pool) paceAll(now clock.Millis) {
+	if p.fills == 0 {
+		return
+	}
 	for _, w := range p.order {
 		if w.reachable && w.serving() > 0 && w.filling() > 0 {
 			p.pace(w, now)
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -34,6 +34,9 @@
 	Config
 	workers   map[fleet.InstanceID]*worker
 	order     []*worker // by id
+	rooms     rooms
+	leaving   int // workers that are cordoned or draining
+	fills     int // placed tasks that fill
 	jobs      map[job.ID]*Job
 	ready     []*stepRun // steps with waiting tasks
 	timed     []*Job     // jobs with occurrences to come
@@ -253,6 +256,9 @@
 	t.worker.release(t)
 	team := t.step.job.Team
 	p.used[team] = p.used[team].Sub(t.step.spec.Needs)
+	if t.step.spec.Fills {
+		p.fills--
+	}
 }
 
 // occupy gives a task a worker.
@@ -260,6 +266,9 @@
 	w.take(t)
 	team := t.step.job.Team
 	p.used[team] = p.used[team].Add(t.step.spec.Needs)
+	if t.step.spec.Fills {
+		p.fills++
+	}
 	if t.state == waiting {
 		t.step.waiting--
 	}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -24,6 +24,8 @@
 type worker struct {
 	Worker
 	used       job.Resources
+	room       int64  // free processor time under which the worker stands in rooms
+	rooms      *rooms // of its pool
 	tasks      map[*task]bool
 	answered   bool // under this tenure's fence
 	reachable  bool
@@ -53,6 +55,7 @@
 func (w *worker) take(t *task) {
 	w.tasks[t] = true
 	w.used = w.used.Add(t.needs())
+	w.rooms.update(w)
 	t.worker = w
 }
 
@@ -62,6 +65,7 @@
 	}
 	delete(w.tasks, t)
 	w.used = w.used.Sub(t.needs())
+	w.rooms.update(w)
 	t.worker = nil
 }
 
