Doubt runs of a former owner until their stop must have ended

A stop takes up to 900 ms there; the next owner adopted the task as at work and ordered the end of another task of the step, of which one may be away. Ruled out: orders of two owners at once (the fence had risen), silent workers. Test: TestAdoptedTaskMayStillBeStopping failed before the change.

--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -279,7 +279,7 @@
 func (p *Process) own(id fleet.PoolID, t *rowstore.Tenure, released bool) {
 	o := owner.New(owner.Config{
 		Pool: id, Tenure: t, Released: released, Table: p.table, Calls: p.calls, Clock: p.Clock, Log: p.Log,
-		Metrics: p.metrics.owner, KeepFinal: p.Settings.KeepFinal, Terms: p.terms, Limited: p.limited, Advise: p.advise,
+		Metrics: p.metrics.owner, KeepFinal: p.Settings.KeepFinal, Terms: p.terms, Limited: p.limited, Advise: p.advise, StopTime: p.Settings.StopTime,
 	})
 	ctx, cancel := context.WithCancel(p.ctx)
 	own := &owned{owner: o, cancel: cancel, done: make(chan struct{})}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -26,6 +26,7 @@
 	Log       *slog.Logger
 	Metrics   *Metrics
 	KeepFinal clock.Millis // how long the state of a finished job can be read
+	StopTime  clock.Millis // longest time that a worker takes to carry a stop out
 	// Terms returns what a queue promises its jobs.
 	Terms func(fleet.QueueID) (schedule.Terms, bool)
 	// Advise asks which workers may run a step; nil where there is no adviser.
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -102,7 +102,7 @@
 		p.end(w, &r.Ended[i], now)
 	}
 	for i := range r.Running {
-		p.seen(w, &r.Running[i], now)
+		p.seen(w, &r.Running[i], r.Asked, now)
 	}
 	p.resolve(w, &r, now)
 }
@@ -135,9 +135,10 @@
 }
 
 // seen takes in one run that a worker lists as running.
-func (p *Pool) seen(w *worker, r *RunReport, now clock.Millis) {
+func (p *Pool) seen(w *worker, r *RunReport, asked, now clock.Millis) {
 	t := p.find(r.Task)
 	if t != nil && t.worker == w && t.run == r.Run {
+		t.doubted = t.doubted && asked-t.adopted < p.StopTime
 		p.progressed(t, r, now)
 		return
 	}
@@ -149,9 +150,10 @@
 	p.orders = append(p.orders, Order{Kind: Stop, Worker: w.ID, Born: w.Born, Task: r.Task, Run: r.Run, Reason: StopUnknown})
 }
 
-// adopt takes over a run that an earlier tenure started.
+// adopt takes over a run that an earlier tenure started and may have stopped just now.
 func (p *Pool) adopt(t *task, w *worker, r *RunReport, now clock.Millis) {
 	t.run = r.Run
+	t.doubted, t.adopted = p.StopTime > 0, now
 	p.occupy(t, w, running, now)
 	t.step.job.begun = true
 	p.progressed(t, r, now)
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -171,7 +171,7 @@
 
 func (p *Pool) start(t *task, w *worker, run int, now clock.Millis) {
 	t.run = run
-	t.percent = 0
+	t.percent, t.doubted = 0, false
 	p.occupy(t, w, starting, now)
 	p.orders = append(p.orders, Order{
 		Kind: Start, Worker: w.ID, Born: w.Born, Task: t.ref(), Run: run, Spec: t.step.job.Spec, Saved: t.saved,
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -17,6 +17,8 @@
 	StartWait clock.Millis
 	// StopRepeat is the time after which a stop without an answer is sent again; 0 means 700 ms.
 	StopRepeat clock.Millis
+	// StopTime is the longest time that a worker takes to carry a stop out.
+	StopTime clock.Millis
 	// Limited reports whether a team's running tasks are bounded; nil bounds none. A bounded
 	// team may run what its allowance holds, and nothing without one.
 	Limited func(fleet.TeamID) bool
--- a/schedule/pool_test.go
+++ b/schedule/pool_test.go
@@ -150,6 +150,33 @@
 	must.Len(t, 1, r.plan(10))
 }
 
+// A former owner had ordered a task's end, which takes a moment. Its successor saw the task at
+// work and ordered the end of another one of the step, so that two were away.
+func TestAdoptedTaskMayStillBeStopping(t *testing.T) {
+	const stopTime = 900
+	r := &rig{t: t, pool: schedule.New(schedule.Config{Pool: "p", RunBase: 1000, StopTime: stopTime})}
+	lasting := tasks(2)
+	lasting.LongRunning, lasting.MayMiss, lasting.MaxPerWorker = true, 1, 1
+	r.pool.Add(newJob(1, lasting), terms, &job.Progress{State: job.Running}, 0, 0)
+	look := func() {
+		for i := range 2 {
+			run := schedule.RunReport{Task: job.Ref{Job: id(1), Index: i}, Run: 1, Percent: 100}
+			r.pool.Observe(workerID(i), schedule.Report{Asked: r.now, Running: []schedule.RunReport{run}}, r.now)
+		}
+	}
+	for i := range 3 {
+		r.worker(workerID(i), 16000)
+	}
+	look()
+	r.pool.Settle(0)
+	r.pool.Cordon([]fleet.InstanceID{"w1"}, 0)
+	must.Len(t, 0, r.plan(100))
+	look()
+	must.Len(t, 0, r.plan(stopTime-100), must.Sprint("the last look was sent before the stop must have ended"))
+	look()
+	must.Len(t, 1, r.plan(1))
+}
+
 // An owner made two failures durable and was killed before it told the worker to forget them.
 // Its successor counted them again and failed a job that had attempts left.
 func TestFailuresCountOnce(t *testing.T) {
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -38,6 +38,9 @@
 	stopAnswered bool
 	answeredAt   clock.Millis
 	failedOn     map[*worker]bool
+	// The run was adopted, and no look has shown yet that the former owner did not stop it.
+	doubted bool
+	adopted clock.Millis
 }
 
 func (t *task) ref() job.Ref {
@@ -54,8 +57,10 @@
 }
 
 // atWork reports whether a task that lasts is known to do its work. What a worker told before
-// it went silent does not count.
-func (t *task) atWork() bool { return t.state == running && t.percent >= 100 && t.worker.reachable }
+// it went silent does not count, nor does a run that a former owner may have stopped.
+func (t *task) atWork() bool {
+	return t.state == running && t.percent >= 100 && t.worker.reachable && !t.doubted
+}
 
 // needs is what the task occupies on a worker.
 func (t *task) needs() job.Resources {
