--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -215,9 +215,34 @@
 	}
 }
 
-// claimStep is how much longer a member waits with a claim for each pool that it owns already,
-// so that pools spread over members.
-const claimStep clock.Millis = 400
+// Waits before a claim. They spread pools over members and bring them to the members that can
+// carry them: each member waits longer for each pool that it owns already, and for the
+// processor time that it lacks.
+const (
+	claimStep clock.Millis = 400 // for each pool that the member owns
+	// ownerProcessor is the processor time, in cores, that an owner of 100 workers and more needs
+	// at the looks of package worker; with less, its looks come late and leases lapse.
+	ownerProcessor              = 0.4
+	weakWait       clock.Millis = 1200 // of a member with none of ownerProcessor
+	// firstWait is the wait of such a member for a pool that nobody has owned yet. Members start
+	// together then, but not at the same moment.
+	firstWait clock.Millis = 6000
+)
+
+// ClaimWait returns how long a member that owns pools already waits before it claims one more.
+// processor is the processor time that it may use, in cores, or 0 if that is not known; first
+// says that nobody has owned the pool yet.
+func ClaimWait(owned int, processor float64, first bool) clock.Millis {
+	wait := clock.Millis(owned) * claimStep
+	if processor <= 0 || processor >= ownerProcessor {
+		return wait
+	}
+	weak := weakWait
+	if first {
+		weak = firstWait
+	}
+	return wait + clock.Millis(float64(weak)*(1-processor/ownerProcessor))
+}
 
 // claimVacant claims pools that have no owner.
 func (p *Process) claimVacant(ctx context.Context) {
@@ -237,7 +262,7 @@
 			p.Log.Error("hosted: tenure skipped", "pool", id, "err", err)
 		}
 		vacant, released := t.Vacant()
-		if !p.mayClaim(id, vacant) {
+		if !p.mayClaim(id, vacant, t.Holder().Fence == 0) {
 			continue
 		}
 		ok, err := t.Claim(ctx)
@@ -255,7 +280,7 @@
 }
 
 // mayClaim reports whether it is this member's turn to claim a pool.
-func (p *Process) mayClaim(id fleet.PoolID, vacant bool) bool {
+func (p *Process) mayClaim(id fleet.PoolID, vacant, first bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !vacant || p.owners[id] != nil || (id == fleetPart && p.holder != nil) {
@@ -272,7 +297,7 @@
 	if p.holder != nil {
 		have++
 	}
-	return now-since >= clock.Millis(have)*claimStep
+	return now-since >= ClaimWait(have, p.Settings.Processor, first)
 }
 
 // own runs a pool whose tenure this member has just claimed.
