Start no recovered task before its steps and failures are known

A task of the second step had failed on the worker heard first. The end took it from blocked to waiting, although the first step was not known to be done and the pool was not settled, and it was started again before another worker listed one more failure. Ruled out: ends acknowledged before they were durable (the cut owner had no commit). Change: the end of a run leaves a task blocked while earlier steps are not done, and unproven after a failure while workers have not answered.

--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -216,11 +216,12 @@
 }
 
 // afterEnd lets a task that was freed start again, unless its job is final. The end of an
-// earlier run does not say that a newer one does not run where nobody has looked yet.
+// earlier run does not say that a newer one does not run where nobody has looked yet. A run can
+// be adopted, and end, before the earlier steps are known to be done.
 func (p *Pool) afterEnd(t *task, now clock.Millis) {
 	switch {
 	case t.state == done || t.state == spent || t.state == unproven:
-	case t.step.job.state.Final():
+	case t.step.job.state.Final() || t.step.blockedBy > 0:
 		t.enter(blocked, now)
 	default:
 		p.requeue(t, now)
@@ -326,6 +327,8 @@
 		}
 		t.enter(spent, now)
 		p.finish(j, job.Failed, "a task failed as often as the queue allows", now)
+	case t.step.blockedBy == 0 && t.worker == nil && j.recovered && !p.settled:
+		t.enter(unproven, now) // workers that have not answered may list more failures
 	case current || t.worker == nil:
 		p.afterEnd(t, now)
 	}
--- a/schedule/pool_test.go
+++ b/schedule/pool_test.go
@@ -177,6 +177,45 @@
 	must.Len(t, 1, r.plan(1))
 }
 
+// A new owner heard first from the worker on which the second step had failed, and took the
+// failed task for one that may start: the first step had not been shown as done yet, and
+// other workers still had failures to tell, so that the task ran more often than allowed.
+func TestFailuresBeforeAllWorkersAnswered(t *testing.T) {
+	failed := func(step, run int) schedule.EndReport {
+		return schedule.EndReport{Task: job.Ref{Job: id(1), Step: step}, Run: run, Kind: schedule.EndFailed}
+	}
+	for _, tc := range []struct {
+		name  string
+		first schedule.Report // of w0, before w1 answers
+		then  schedule.Report // of w0, after it
+		state job.State
+	}{
+		{"a later step", schedule.Report{Ended: []schedule.EndReport{failed(1, 2), failed(1, 3)}}, schedule.Report{}, job.Failed},
+		{"an adopted run", schedule.Report{Running: []schedule.RunReport{{Task: job.Ref{Job: id(1), Step: 1}, Run: 2}}},
+			schedule.Report{Ended: []schedule.EndReport{failed(1, 2), failed(1, 3)}}, job.Failed},
+		{"a stopped run", schedule.Report{Running: []schedule.RunReport{{Task: job.Ref{Job: id(1), Step: 1}, Run: 2}}},
+			schedule.Report{Ended: []schedule.EndReport{{Task: job.Ref{Job: id(1), Step: 1}, Run: 2, Kind: schedule.EndStopped}}}, job.Running},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := &rig{t: t, pool: schedule.New(schedule.Config{Pool: "p", RunBase: 1000})}
+			r.pool.Add(newJob(1, tasks(1), tasks(1, 0)), schedule.Terms{Attempts: 3}, &job.Progress{State: job.Running}, 0, 0)
+			r.worker("w0", 16000)
+			r.pool.Observe("w0", tc.first, 0)
+			must.Len(t, 0, r.starts(10))
+			r.pool.Observe("w0", tc.then, r.now)
+			must.Len(t, 0, r.starts(10), must.Sprint("w1 has not answered"))
+			r.worker("w1", 16000)
+			r.pool.Observe("w1", schedule.Report{Ended: []schedule.EndReport{
+				{Task: job.Ref{Job: id(1)}, Run: 1, Kind: schedule.EndDone}, failed(1, 1),
+			}}, r.now)
+			r.pool.Settle(r.now)
+			r.commit()
+			must.Eq(t, tc.state, r.state(1))
+			must.Eq(t, tc.state == job.Running, len(r.starts(10)) == 1)
+		})
+	}
+}
+
 // An owner made two failures durable and was killed before it told the worker to forget them.
 // Its successor counted them again and failed a job that had attempts left.
 func TestFailuresCountOnce(t *testing.T) {
