--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 
-	"citronknot/clock"
 	"citronknot/fleet"
 	"citronknot/job"
 	"citronknot/owner"
@@ -110,6 +109,7 @@
 			p.interrupted()
 		} else if !p.closing.Load() {
 			p.claimVacant(ctx)
+			p.relieve(ctx)
 		}
 		pause(ctx, tenurePoll)
 	}
@@ -127,7 +127,10 @@
 	defer p.mu.Unlock()
 	t := p.tenures[pool]
 	if t == nil {
-		t = &rowstore.Tenure{Table: p.table, Clock: p.Clock, Part: string(pool), Self: p.Settings.Member, Address: p.memberAddress()}
+		t = &rowstore.Tenure{
+			Table: p.table, Clock: p.Clock, Part: string(pool), Self: p.Settings.Member, Address: p.memberAddress(),
+			Weak: weak(p.Settings.Processor),
+		}
 		p.tenures[pool] = t
 	}
 	return t
@@ -215,131 +218,6 @@
 	}
 }
 
-// Waits before a claim. They spread pools over members and bring them to the members that can
-// carry them: each member waits longer for each pool that it owns already, and for the
-// processor time that it lacks.
-const (
-	claimStep clock.Millis = 400 // for each pool that the member owns
-	// ownerProcessor is the processor time, in cores, that an owner of 100 workers and more needs
-	// at the looks of package worker; with less, its looks come late and leases lapse.
-	ownerProcessor              = 0.4
-	weakWait       clock.Millis = 1200 // of a member with none of ownerProcessor
-	// firstWait is the wait of such a member for a pool that nobody has owned yet. Members start
-	// together then, but not at the same moment.
-	firstWait clock.Millis = 6000
-)
-
-// ClaimWait returns how long a member that owns pools already waits before it claims one more.
-// processor is the processor time that it may use, in cores, or 0 if that is not known; first
-// says that nobody has owned the pool yet.
-func ClaimWait(owned int, processor float64, first bool) clock.Millis {
-	wait := clock.Millis(owned) * claimStep
-	if processor <= 0 || processor >= ownerProcessor {
-		return wait
-	}
-	weak := weakWait
-	if first {
-		weak = firstWait
-	}
-	return wait + clock.Millis(float64(weak)*(1-processor/ownerProcessor))
-}
-
-// claimVacant claims pools that have no owner.
-func (p *Process) claimVacant(ctx context.Context) {
-	c := p.catalog.Load()
-	if c == nil {
-		return
-	}
-	ids := []fleet.PoolID{fleetPart}
-	for id, pool := range c.Pools { // in random order
-		if !pool.Spare {
-			ids = append(ids, id)
-		}
-	}
-	for _, id := range ids {
-		t := p.tenure(id)
-		if err := t.Observe(rowstore.Row{}); err != nil { // no row: nobody ever held the pool
-			p.Log.Error("hosted: tenure skipped", "pool", id, "err", err)
-		}
-		vacant, released := t.Vacant()
-		if !p.mayClaim(id, vacant, t.Holder().Fence == 0) {
-			continue
-		}
-		ok, err := t.Claim(ctx)
-		if err != nil {
-			p.Log.Warn("hosted: claim failed", "pool", id, "err", err)
-			continue
-		}
-		switch {
-		case ok && id == fleetPart:
-			p.holdFleet(t)
-		case ok:
-			p.own(id, t, released)
-		}
-	}
-}
-
-// mayClaim reports whether it is this member's turn to claim a pool.
-func (p *Process) mayClaim(id fleet.PoolID, vacant, first bool) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !vacant || p.owners[id] != nil || (id == fleetPart && p.holder != nil) {
-		delete(p.vacant, id)
-		return false
-	}
-	now := p.Clock.Now()
-	since, ok := p.vacant[id]
-	if !ok {
-		since = now
-		p.vacant[id] = now
-	}
-	have := len(p.owners)
-	if p.holder != nil {
-		have++
-	}
-	return now-since >= ClaimWait(have, p.Settings.Processor, first)
-}
-
-// own runs a pool whose tenure this member has just claimed.
-func (p *Process) own(id fleet.PoolID, t *rowstore.Tenure, released bool) {
-	o := owner.New(owner.Config{
-		Pool: id, Tenure: t, Released: released, Table: p.table, Calls: p.calls, Clock: p.Clock, Log: p.Log,
-		Metrics: p.metrics.owner, KeepFinal: p.Settings.KeepFinal, Terms: p.terms, Limited: p.limited, Advise: p.advise, StopTime: p.Settings.StopTime,
-	})
-	ctx, cancel := context.WithCancel(p.ctx)
-	own := &owned{owner: o, cancel: cancel, done: make(chan struct{})}
-	p.mu.Lock()
-	p.owners[id] = own
-	delete(p.vacant, id)
-	p.mu.Unlock()
-	p.wg.Go(func() {
-		defer close(own.done)
-		defer cancel()
-		err := o.Run(ctx)
-		p.mu.Lock()
-		delete(p.owners, id)
-		p.mu.Unlock()
-		p.Log.Info("hosted: pool given up", "pool", id, "err", err)
-		if !owner.Expired(err) {
-			p.release(t)
-		}
-	})
-}
-
-// releaseWait bounds the release of a tenure; after it the others wait for its term.
-const releaseWait clock.Millis = 1000
-
-func (p *Process) release(t *rowstore.Tenure) {
-	if p.crashed.Load() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), releaseWait.Duration())
-	defer cancel()
-	if err := t.Release(ctx); err != nil {
-		p.Log.Warn("hosted: pool not released", "pool", t.Part, "err", err)
-	}
-}
-
 func (p *Process) terms(id fleet.QueueID) (schedule.Terms, bool) {
 	c := p.catalog.Load()
 	if c == nil || c.Queues[id] == nil {
--- a/hosted/harness_test.go
+++ b/hosted/harness_test.go
@@ -98,8 +98,10 @@
 	})
 }
 
-// start starts a member.
-func (s *site) start(name string) *member {
+// start starts a member whose settings do not say how much processor time it has.
+func (s *site) start(name string) *member { return s.startWith(name, 0) }
+
+func (s *site) startWith(name string, processor float64) *member {
 	m := &member{}
 	gate := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if m.cut.Load() {
@@ -113,7 +115,7 @@
 	first := freePorts(s.t)
 	m.settings = &platform.Settings{
 		Member: fleet.MemberID(name), Zone: "z1", IP: netip.MustParseAddr("127.0.0.1"),
-		CallerAddr: freeAddress(s.t), ReadyAddr: freeAddress(s.t), PeerPort: first, MetricsPort: first + 1, MemoryMB: 512,
+		CallerAddr: freeAddress(s.t), ReadyAddr: freeAddress(s.t), PeerPort: first, MetricsPort: first + 1, MemoryMB: 512, Processor: processor,
 		StoreAddr: netip.MustParseAddrPort(strings.TrimPrefix(gate.URL, "http://")), KeepFinal: 120_000,
 		MachinesAddr: s.services[0], AdviceAddr: s.services[1], MoveTime: 300, UpkeepTime: 300,
 	}
--- a/hosted/members.go
+++ b/hosted/members.go
@@ -42,6 +42,7 @@
 	mux.HandleFunc("DELETE /v1/pools/{pool}/jobs/{id}", p.serveOwner(p.serveCancel))
 	mux.HandleFunc("GET /v1/pools/{pool}/queues/{queue}/pending", p.serveOwner(p.servePending))
 	mux.HandleFunc("GET /v1/pools/{pool}/state", p.servePoolState)
+	mux.HandleFunc("POST /v1/pools/{pool}/hand-over", p.serveHandOver)
 	mux.HandleFunc("GET /v1/fleet/waves", p.serveWaves)
 	mux.HandleFunc("POST /v1/fleet/report", p.serveReport)
 	mux.HandleFunc("POST /v1/store", p.serveStore)
--- a/hosted/process.go
+++ b/hosted/process.go
@@ -73,16 +73,17 @@
 	closing atomic.Bool
 	crashed atomic.Bool // by Close
 
-	mu       sync.Mutex
-	tenures  map[fleet.PoolID]*rowstore.Tenure
-	owners   map[fleet.PoolID]*owned
-	vacant   map[fleet.PoolID]clock.Millis // since when a pool was seen without an owner
-	formerly map[fleet.QueueID][]fleet.PoolID
-	workers  map[fleet.InstanceID]*platform.Registration
-	scanned  bool // the list of workers was read
-	waves    map[int]seenWave
-	avoid    map[string]clock.Millis // members that could not reach the store, until when
-	holder   *fleetHolder            // nil if this member does not hold the fleet
+	mu          sync.Mutex
+	tenures     map[fleet.PoolID]*rowstore.Tenure
+	owners      map[fleet.PoolID]*owned
+	vacant      map[fleet.PoolID]clock.Millis // since when a pool was seen without an owner
+	weakTenures map[fleet.PoolID]weakTenure
+	formerly    map[fleet.QueueID][]fleet.PoolID
+	workers     map[fleet.InstanceID]*platform.Registration
+	scanned     bool // the list of workers was read
+	waves       map[int]seenWave
+	avoid       map[string]clock.Millis // members that could not reach the store, until when
+	holder      *fleetHolder            // nil if this member does not hold the fleet
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -104,7 +105,7 @@
 	p := &Process{
 		Config: c, direct: store.Table(), calls: platform.NewWorkers(platform.NewHTTPClient(workerConns)).Calls(),
 		members: &memberClient{http: platform.NewHTTPClient(memberConns)}, metrics: newMetrics(c.Dropped),
-		tenures: map[fleet.PoolID]*rowstore.Tenure{}, owners: map[fleet.PoolID]*owned{}, vacant: map[fleet.PoolID]clock.Millis{},
+		tenures: map[fleet.PoolID]*rowstore.Tenure{}, owners: map[fleet.PoolID]*owned{}, vacant: map[fleet.PoolID]clock.Millis{}, weakTenures: map[fleet.PoolID]weakTenure{},
 		formerly: map[fleet.QueueID][]fleet.PoolID{}, workers: map[fleet.InstanceID]*platform.Registration{}, waves: map[int]seenWave{}, avoid: map[string]clock.Millis{},
 	}
 	detour := &rowstore.Detour{Direct: p.direct, Other: p.relayed, Clock: c.Clock, Used: p.metrics.detours.Inc}
--- a/rowstore/tenure.go
+++ b/rowstore/tenure.go
@@ -49,6 +49,8 @@
 	Part    string
 	Self    fleet.MemberID
 	Address string // where other members reach this one
+	// Weak says that this member would give the part to one that has more processor time.
+	Weak bool
 
 	mu      sync.Mutex
 	known   bool
@@ -64,6 +66,7 @@
 	Address string `json:"address,omitempty"`
 	Fence   uint64 `json:"fence"`
 	Attempt string `json:"attempt"`
+	Weak    bool   `json:"weak,omitempty"`
 }
 
 // Holder is what the row says of the holder.
@@ -71,6 +74,7 @@
 	Member  fleet.MemberID // empty if nobody holds the part
 	Address string
 	Fence   uint64
+	Weak    bool // see Tenure
 }
 
 func (t *Tenure) ref() Ref { return Ref{Table: TenureTable, Part: t.Part, Key: tenureKey} }
@@ -108,7 +112,7 @@
 func (t *Tenure) Holder() Holder {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Holder{Member: fleet.MemberID(t.row.Holder), Address: t.row.Address, Fence: t.row.Fence}
+	return Holder{Member: fleet.MemberID(t.row.Holder), Address: t.row.Address, Fence: t.row.Fence, Weak: t.row.Weak}
 }
 
 // Vacant reports whether the part may be claimed, and whether it was released or never held,
@@ -132,7 +136,7 @@
 func (t *Tenure) Claim(ctx context.Context) (ok bool, err error) {
 	t.mu.Lock()
 	check := Check{Ref: t.ref(), Version: t.version}
-	next := wireTenure{Holder: string(t.Self), Address: t.Address, Fence: t.row.Fence + 1, Attempt: newAttempt()}
+	next := wireTenure{Holder: string(t.Self), Address: t.Address, Fence: t.row.Fence + 1, Attempt: newAttempt(), Weak: t.Weak}
 	sent := t.Clock.Mark()
 	t.mu.Unlock()
 	value, err := json.Marshal(next)
@@ -291,10 +295,9 @@
 // have ended all orders before.
 func (t *Tenure) Release(ctx context.Context) error {
 	t.mu.Lock()
-	held := t.held
+	held, version := t.held, t.version
 	t.held = false
 	next := wireTenure{Fence: t.row.Fence, Attempt: newAttempt()}
-	check := Check{Ref: t.ref(), Version: t.version}
 	t.mu.Unlock()
 	if !held {
 		return nil
@@ -303,10 +306,26 @@
 	if err != nil {
 		return eris.Wrap(err, "rowstore: tenure")
 	}
-	_, err = t.Table.Transact(ctx, Transaction{Checks: []Check{check}, Writes: []Write{{Ref: t.ref(), Value: value}}})
+	for range releaseTries {
+		_, err = t.Table.Transact(ctx, Transaction{
+			Checks: []Check{{Ref: t.ref(), Version: version}}, Writes: []Write{{Ref: t.ref(), Value: value}},
+		})
+		var conflict *ConflictError
+		if !errors.As(err, &conflict) {
+			return err
+		}
+		at, row, found := t.current(conflict)
+		if !found || row.Holder != string(t.Self) || row.Fence != next.Fence {
+			return nil // released, or held by another member
+		}
+		version = at // a commit that was given up was carried out
+	}
 	return err
 }
 
+// releaseTries bounds the tries of a release: one more than the commits that may be under way.
+const releaseTries = 2
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d clock.Millis) {
 	timer := time.NewTimer(d.Duration())
--- a/rowstore/tenure_test.go
+++ b/rowstore/tenure_test.go
@@ -186,6 +186,28 @@
 	must.False(t, vacant)
 }
 
+// A planned stop cancelled a commit that was carried out all the same. The release found
+// another version of the row and was given up, so that the others waited for the whole term.
+func TestReleaseAfterCancelledCommit(t *testing.T) {
+	s := &partStore{}
+	now := clock.Millis(1000)
+	a, b := holder(s, "a", &now), holder(s, "b", &now)
+	must.NoError(t, a.Observe(rowstore.Row{}))
+	ok, err := a.Claim(t.Context())
+	must.NoError(t, err)
+	must.True(t, ok)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	s.lose = true
+	must.Error(t, a.Commit(ctx, write("j1")))
+	s.lose = false
+	must.NoError(t, a.Release(t.Context()))
+	must.NoError(t, b.Observe(holderRow(s)))
+	vacant, released := b.Vacant()
+	must.True(t, vacant)
+	must.True(t, released)
+}
+
 func TestReleaseLetsOthersClaimAtOnce(t *testing.T) {
 	var now clock.Millis
 	s := &partStore{}
