--- a/cmd/jobload/main.go
+++ b/cmd/jobload/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"runtime/pprof"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -16,14 +17,15 @@
 
 // options are the settings of one run.
 type options struct {
-	Members  int           `long:"members" env:"CITRONKNOT_JOBLOAD_MEMBERS" default:"3" description:"members, 1 to 50"`
-	Workers  int           `long:"workers" env:"CITRONKNOT_JOBLOAD_WORKERS" default:"8" description:"workers, 1 to 200"`
-	Rate     float64       `long:"rate" env:"CITRONKNOT_JOBLOAD_RATE" default:"20" description:"jobs a second, up to 1000"`
-	Duration time.Duration `long:"duration" env:"CITRONKNOT_JOBLOAD_DURATION" default:"10s" description:"time of handing in, up to 10m"`
-	Tasks    int           `long:"tasks" env:"CITRONKNOT_JOBLOAD_TASKS" default:"6" description:"tasks of a job, 1 to 100"`
-	Work     time.Duration `long:"work" env:"CITRONKNOT_JOBLOAD_WORK" default:"300ms" description:"run time of a task, up to 1m"`
-	Port     uint16        `long:"port" env:"CITRONKNOT_JOBLOAD_PORT" default:"24000" description:"first of the members' ports, 1024 to 60000"`
-	KillAt   time.Duration `long:"kill-at" env:"CITRONKNOT_JOBLOAD_KILL_AT" default:"0s" description:"time after which the pool's owner is cut off; 0 for never"`
+	Members  int            `long:"members" env:"CITRONKNOT_JOBLOAD_MEMBERS" default:"3" description:"members, 1 to 50"`
+	Workers  int            `long:"workers" env:"CITRONKNOT_JOBLOAD_WORKERS" default:"8" description:"workers, 1 to 200"`
+	Rate     float64        `long:"rate" env:"CITRONKNOT_JOBLOAD_RATE" default:"20" description:"jobs a second, up to 1000"`
+	Duration time.Duration  `long:"duration" env:"CITRONKNOT_JOBLOAD_DURATION" default:"10s" description:"time of handing in, up to 10m"`
+	Tasks    int            `long:"tasks" env:"CITRONKNOT_JOBLOAD_TASKS" default:"6" description:"tasks of a job, 1 to 100"`
+	Work     time.Duration  `long:"work" env:"CITRONKNOT_JOBLOAD_WORK" default:"300ms" description:"run time of a task, up to 1m"`
+	Port     uint16         `long:"port" env:"CITRONKNOT_JOBLOAD_PORT" default:"24000" description:"first of the members' ports, 1024 to 60000"`
+	Profile  flags.Filename `long:"cpu-profile" description:"file for a processor profile of the whole run"`
+	KillAt   time.Duration  `long:"kill-at" env:"CITRONKNOT_JOBLOAD_KILL_AT" default:"0s" description:"time after which the pool's owner is cut off; 0 for never"`
 }
 
 // check reports the first option that is not accepted.
@@ -65,6 +67,19 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
+	if o.Profile != "" {
+		f, err := os.Create(string(o.Profile))
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		defer func() { _ = f.Close() }()
+		if err := pprof.StartCPUProfile(f); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		defer pprof.StopCPUProfile()
+	}
 	d, err := start(&o, slog.New(slog.DiscardHandler))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/hosted/claim.go
+++ b/hosted/claim.go
@@ -181,7 +181,7 @@
 func (p *Process) own(id fleet.PoolID, t *rowstore.Tenure, released bool) {
 	o := owner.New(owner.Config{
 		Pool: id, Tenure: t, Released: released, Table: p.table, Calls: p.calls, Clock: p.Clock, Log: p.Log,
-		Metrics: p.metrics.owner, KeepFinal: p.Settings.KeepFinal, Terms: p.terms, Limited: p.limited, Advise: p.advise, StopTime: p.Settings.StopTime,
+		Metrics: p.metrics.owner, KeepFinal: p.Settings.KeepFinal, Terms: p.terms, Limited: p.limited, Advise: p.advise, StopTime: p.Settings.StopTime, LookWait: p.lookWait(),
 	})
 	ctx, cancel := context.WithCancel(p.ctx)
 	own := &owned{owner: o, cancel: cancel, done: make(chan struct{})}
@@ -203,6 +203,18 @@
 	})
 }
 
+// weakLookWait is the wait of a weak owner's looks: three extensions of a lease still fit in its
+// length.
+const weakLookWait clock.Millis = 1200
+
+// lookWait returns the wait of an owner's looks; 0 means the usual one.
+func (p *Process) lookWait() clock.Millis {
+	if weak(p.Settings.Processor) {
+		return weakLookWait
+	}
+	return 0
+}
+
 // releaseWait bounds the release of a tenure; after it the others wait for its term.
 const releaseWait clock.Millis = 1000
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -27,6 +27,7 @@
 	Metrics   *Metrics
 	KeepFinal clock.Millis // how long the state of a finished job can be read
 	StopTime  clock.Millis // longest time that a worker takes to carry a stop out
+	LookWait  clock.Millis // longest wait of a look for an end; see worker.Config
 	// Terms returns what a queue promises its jobs.
 	Terms func(fleet.QueueID) (schedule.Terms, bool)
 	// Advise asks which workers may run a step; nil where there is no adviser.
@@ -35,6 +36,10 @@
 	Limited func(fleet.TeamID) bool
 }
 
+// maxStarting bounds the starts under way. An order takes some 0.4 ms of processor time, so that
+// the answers to this many come within 110 ms on a machine with 0.12 cores.
+const maxStarting = 32
+
 // tick is the period of what has no event of its own: timeouts, due times, pace.
 const tick clock.Millis = 100
 
@@ -195,8 +200,9 @@
 		"worker", order.Worker, "pool", o.Pool, "fence", o.Tenure.Fence(), "reason", string(order.Reason), "answer", result.String())
 	o.mu.Lock()
 	o.pool.Answered(order, outcome, o.Clock.Now())
+	held := o.pool.Held()
 	o.mu.Unlock()
-	if outcome != schedule.Accepted || order.Kind == schedule.Stop {
+	if held || outcome != schedule.Accepted || order.Kind == schedule.Stop {
 		wake(o.plan)
 	}
 }
--- a/owner/save.go
+++ b/owner/save.go
@@ -48,7 +48,7 @@
 	now, wall := o.Clock.Now(), o.Clock.Wall()
 	o.pool = schedule.New(schedule.Config{
 		Pool: o.Pool, RunBase: int(o.Tenure.Fence()-1) * runsPerTenure,
-		Limited: o.Limited, Note: o.note, StopTime: o.StopTime,
+		Limited: o.Limited, Note: o.note, StopTime: o.StopTime, MaxStarting: maxStarting,
 	})
 	progress := map[job.ID]*job.Progress{}
 	for _, r := range rows {
--- a/owner/workers.go
+++ b/owner/workers.go
@@ -84,7 +84,7 @@
 	s = &session{cancel: cancel, born: born, addr: l.Address}
 	s.Session = worker.NewSession(worker.Config{
 		Calls: o.Calls, Target: worker.Target{ID: id, Address: l.Address}, Born: born, Clock: o.Clock,
-		Fence: o.Tenure.Fence(), Log: o.Log, Authorized: o.authorized,
+		Fence: o.Tenure.Fence(), LookWait: o.LookWait, Log: o.Log, Authorized: o.authorized,
 		Report:    func(ctx context.Context, r schedule.Report) uint64 { return o.report(ctx, id, born, r) },
 		Durable:   o.durable,
 		Reachable: func(yes bool) { o.change(id, born, func(clock.Millis) { o.pool.SetReachable(id, yes) }) },
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -115,6 +115,7 @@
 
 // place starts waiting tasks where there is room.
 func (p *Pool) place(now clock.Millis) {
+	p.held = false
 	p.ready = slices.DeleteFunc(p.ready, func(s *stepRun) bool {
 		s.listed = s.waiting > 0 && !s.job.state.Final()
 		return !s.listed
@@ -128,6 +129,9 @@
 	}
 	slices.SortFunc(list, compareRanked)
 	for i := range list {
+		if p.full() {
+			return
+		}
 		s := list[i].step
 		if s.spec.Gang {
 			p.placeGang(s, now)
@@ -146,7 +150,7 @@
 		if t.state != waiting {
 			continue
 		}
-		if !p.allowed(s, 1) {
+		if !p.allowed(s, 1) || p.full() {
 			return
 		}
 		w := p.choose(t, now)
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -17,6 +17,10 @@
 	StartWait clock.Millis
 	// StopRepeat is the time after which a stop without an answer is sent again; 0 means 700 ms.
 	StopRepeat clock.Millis
+	// MaxStarting bounds the tasks whose start is under way; 0 bounds none. A member that is
+	// short of processor time would give more starts at once than it can take answers in, and
+	// its looks would come late.
+	MaxStarting int
 	// StopTime is the longest time that a worker takes to carry a stop out.
 	StopTime clock.Millis
 	// Limited reports whether a team's running tasks are bounded; nil bounds none. A bounded
@@ -50,6 +54,7 @@
 	stops     map[*task]bool // tasks in state stopping
 	starts    map[*task]bool // tasks in state starting
 	settled   bool
+	held      bool // the last pass left starts to the next one, because of MaxStarting
 }
 
 // New returns an empty pool. Recovered jobs start nothing before [Pool.Settle].
@@ -286,6 +291,15 @@
 // Allowance returns what each team with a limit may have running in this pool.
 func (p *Pool) Allowance() map[fleet.TeamID]job.Resources { return p.allowance }
 
+// Held reports whether tasks with room wait for the answers to other starts.
+func (p *Pool) Held() bool { return p.held }
+
+func (p *Pool) full() bool {
+	full := p.MaxStarting > 0 && len(p.starts) >= p.MaxStarting
+	p.held = p.held || full
+	return full
+}
+
 // Job returns a job, or nil.
 func (p *Pool) Job(id job.ID) *Job { return p.jobs[id] }
 
--- a/schedule/pool_test.go
+++ b/schedule/pool_test.go
@@ -191,10 +191,18 @@
 		state job.State
 	}{
 		{"a later step", schedule.Report{Ended: []schedule.EndReport{failed(1, 2), failed(1, 3)}}, schedule.Report{}, job.Failed},
-		{"an adopted run", schedule.Report{Running: []schedule.RunReport{{Task: job.Ref{Job: id(1), Step: 1}, Run: 2}}},
-			schedule.Report{Ended: []schedule.EndReport{failed(1, 2), failed(1, 3)}}, job.Failed},
-		{"a stopped run", schedule.Report{Running: []schedule.RunReport{{Task: job.Ref{Job: id(1), Step: 1}, Run: 2}}},
-			schedule.Report{Ended: []schedule.EndReport{{Task: job.Ref{Job: id(1), Step: 1}, Run: 2, Kind: schedule.EndStopped}}}, job.Running},
+		{
+			"an adopted run",
+			schedule.Report{Running: []schedule.RunReport{{Task: job.Ref{Job: id(1), Step: 1}, Run: 2}}},
+			schedule.Report{Ended: []schedule.EndReport{failed(1, 2), failed(1, 3)}},
+			job.Failed,
+		},
+		{
+			"a stopped run",
+			schedule.Report{Running: []schedule.RunReport{{Task: job.Ref{Job: id(1), Step: 1}, Run: 2}}},
+			schedule.Report{Ended: []schedule.EndReport{{Task: job.Ref{Job: id(1), Step: 1}, Run: 2, Kind: schedule.EndStopped}}},
+			job.Running,
+		},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r := &rig{t: t, pool: schedule.New(schedule.Config{Pool: "p", RunBase: 1000})}
--- a/schedule/room_test.go
+++ b/schedule/room_test.go
@@ -83,3 +83,28 @@
 		}
 	})
 }
+
+// Guards against an owner that gives more starts at once than it can take answers in: on
+// members with 0.12 cores the looks came late then, leases lapsed, and tasks ran twice.
+func TestStartsUnderWayAreBounded(t *testing.T) {
+	r := &rig{t: t, pool: schedule.New(schedule.Config{Pool: "p", MaxStarting: 4})}
+	r.pool.Settle(0)
+	for i := range 3 {
+		r.worker(workerID(i), 16000)
+	}
+	r.pool.Add(newJob(1, tasks(5)), terms, nil, 0, 0)
+	r.pool.Add(newJob(2, tasks(5)), terms, nil, 0, 0)
+	first := r.plan(1)
+	must.Len(t, 4, first)
+	must.True(t, r.pool.Held())
+	must.Len(t, 0, r.plan(1))
+	r.pool.Answered(first[0], schedule.Accepted, r.now)
+	r.pool.Answered(first[1], schedule.NoRoom, r.now)
+	for _, o := range append(first[2:], r.plan(1)...) {
+		r.pool.Answered(o, schedule.Accepted, r.now)
+	}
+	for range 3 {
+		r.starts(1)
+	}
+	must.False(t, r.pool.Held(), must.Sprint("nothing waits any more"))
+}
--- a/worker/session.go
+++ b/worker/session.go
@@ -14,7 +14,7 @@
 // that a takeover ends no run.
 const (
 	LeaseLength clock.Millis = 4500
-	lookWait    clock.Millis = 500 // longest wait of a look for an end
+	lookWait    clock.Millis = 500 // longest wait of a look for an end, if Config names none
 	lookSlack   clock.Millis = 250 // a look without an answer after its wait and this is given up
 	orderWait   clock.Millis = 400 // longest wait for the answer to an order
 	retryWait   clock.Millis = 150 // between looks at a worker that does not answer
@@ -27,7 +27,10 @@
 	Born   clock.Millis // expected incarnation; 0 takes any
 	Clock  clock.Clock
 	Fence  uint64
-	Log    *slog.Logger
+	// LookWait is the longest wait of a look for an end. Looks cost processor time, and a worker
+	// that went silent is noticed after two of them. 0 means 500 ms.
+	LookWait clock.Millis
+	Log      *slog.Logger
 
 	// Authorized reports whether orders may be given and leases extended.
 	Authorized func() bool
@@ -68,7 +71,12 @@
 }
 
 // NewSession returns a session; Run keeps it.
-func NewSession(c Config) *Session { return &Session{Config: c} }
+func NewSession(c Config) *Session {
+	if c.LookWait == 0 {
+		c.LookWait = lookWait
+	}
+	return &Session{Config: c}
+}
 
 // Run looks at the worker until ctx ends or the incarnation is lost.
 func (s *Session) Run(ctx context.Context) {
@@ -134,7 +142,7 @@
 	if s.lease.heard && s.reachable {
 		o.LeaseUntil = s.lease.extend(LeaseLength, now)
 		if s.failures == 0 {
-			o.Wait = lookWait
+			o.Wait = s.LookWait
 		}
 	}
 	return o
