--- a/cmd/bound/main.go
+++ b/cmd/bound/main.go
@@ -92,7 +92,7 @@
 
 func report(to io.Writer, o options, pools map[string]*series) error {
 	w := tabwriter.NewWriter(to, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "headroom %\tmachine-seconds\tmoves\tcost")
+	_, failed := fmt.Fprintln(w, "headroom %\tmachine-seconds\tmoves\tcost")
 	b := experiment.Bound{Machine: o.Machine, Step: step, MoveCost: o.MoveCost}
 	row := func(name string, of func(*series) experiment.BoundResult) {
 		var sum experiment.BoundResult
@@ -101,7 +101,8 @@
 			sum.MachineSeconds += r.MachineSeconds
 			sum.Moves += r.Moves
 		}
-		fmt.Fprintf(w, "%s\t%.0f\t%d\t%.0f\n", name, sum.MachineSeconds, sum.Moves, sum.Cost(b))
+		_, err := fmt.Fprintf(w, "%s\t%.0f\t%d\t%.0f\n", name, sum.MachineSeconds, sum.Moves, sum.Cost(b))
+		failed = errors.Join(failed, err)
 	}
 	for _, headroom := range []int64{0, 10, 30, 50, 100} {
 		b.Headroom = headroom
@@ -112,5 +113,5 @@
 		most := slices.Max(s.capacities)
 		return b.Held(slices.Repeat([]int64{most}, len(s.capacities)))
 	})
-	return eris.Wrap(w.Flush(), "bound: print")
+	return eris.Wrap(errors.Join(failed, w.Flush()), "bound: print")
 }
