Measure leases on clocks that the time of day does not change

Cause: a lease's age was the larger of the monotonic and the wall time, so that a suspension of the machine counts, which the monotonic clock leaves out. On machines whose time of day jumps, a jump of some seconds forward ended the lease of its holder at once, and a jump back kept others from taking a partition over. Change: marks carry the time of the clock that counts suspensions (CLOCK_BOOTTIME); ages compare it with the monotonic time. Result: TestWallClockJumpsDoNotChangeLeases fails on the code before (jumps of 9 s and an hour, both ways). TestLeaseHasOneHolder is stricter: any member may be suspended and any wall clock set back, where one member each was spared before. The tests that simulated a suspension by a jump of the wall clock now use the boot clock.

--- a/peer/freshness.go
+++ b/peer/freshness.go
@@ -137,7 +137,7 @@
 	// The submission had ended when unconfirmedAt was read. A read sent more than
 	// transactionExpiry later on both clocks therefore follows the last moment at which the
 	// submission could be applied.
-	expired := min(sentAt.Now-f.unconfirmedAt.Now, sentAt.Wall-f.unconfirmedAt.Wall) > transactionExpiry
+	expired := min(sentAt.Now-f.unconfirmedAt.Now, sentAt.Boot-f.unconfirmedAt.Boot) > transactionExpiry
 	if headVersion >= f.unconfirmedVersion || expired {
 		f.unconfirmedVersion = 0
 	}
@@ -152,8 +152,7 @@
 	if !s.Confirmed || s.ConfirmationAge < 0 {
 		return
 	}
-	at := clock.Mark{Now: requestedAt.Now - s.ConfirmationAge, Wall: requestedAt.Wall - s.ConfirmationAge}
-	f.Confirm(Confirmation{Version: s.ConfirmedVersion, At: at}, appliedVersion)
+	f.Confirm(Confirmation{Version: s.ConfirmedVersion, At: requestedAt.Before(s.ConfirmationAge)}, appliedVersion)
 }
 
 // BeginSubmission records that a change is being submitted to the table service.
@@ -223,7 +222,7 @@
 // goneBefore reports whether m was observed gone before the last confirmation, which then covers
 // every change that m accepted.
 func (f *Freshness) goneBefore(m Member) bool {
-	return m.Gone && f.isConfirmed && m.GoneSince.Now < f.confirmed.At.Now && m.GoneSince.Wall < f.confirmed.At.Wall
+	return m.Gone && f.isConfirmed && m.GoneSince.Now < f.confirmed.At.Now && m.GoneSince.Boot < f.confirmed.At.Boot
 }
 
 // Pending returns the members that have not responded yet.
--- a/peer/freshness_test.go
+++ b/peer/freshness_test.go
@@ -30,7 +30,7 @@
 	id                        fleet.MemberID
 	freshness                 peer.Freshness
 	appliedVersion            fleet.Version
-	monotonic, wall           clock.Millis
+	monotonic, boot, wall     clock.Millis
 	tableUnreachable, stopped bool
 	gone                      bool
 	goneSince                 clock.Mark
@@ -45,8 +45,10 @@
 func newModelFleet(n int) *modelFleet {
 	w := &modelFleet{acceptedAt: map[fleet.Version]clock.Millis{}}
 	for i := range n {
-		m := &modelMember{id: fleet.MemberID(fmt.Sprint("m", i)), monotonic: clock.Millis(1000 * i), wall: 1_000_000, wallClockJumps: i%2 == 0}
-		m.freshness.Clock = clock.Clock{NowFunc: func() clock.Millis { return m.monotonic }, WallFunc: func() clock.Millis { return m.wall }}
+		m := &modelMember{id: fleet.MemberID(fmt.Sprint("m", i)), monotonic: clock.Millis(1000 * i), boot: 500_000, wall: 1_000_000, wallClockJumps: i%2 == 0}
+		m.freshness.Clock = clock.Clock{
+			NowFunc: func() clock.Millis { return m.monotonic }, BootFunc: func() clock.Millis { return m.boot }, WallFunc: func() clock.Millis { return m.wall },
+		}
 		w.members = append(w.members, m)
 	}
 	return w
@@ -56,6 +58,7 @@
 	w.now += d
 	for _, m := range w.members {
 		m.monotonic += d
+		m.boot += d
 		m.wall += d
 	}
 }
@@ -299,7 +302,7 @@
 		m.freshness.RecordRead(m.freshness.Clock.Mark(), 0, 0)
 		m.freshness.RecordReadFailure()
 		read := m.freshness.Clock.Mark()
-		m.monotonic += tc.sinceRosterRead // as after the wall clock was set back
+		m.monotonic += tc.sinceRosterRead
 		r := m.freshness.StartRound(m.freshness.Clock.Mark(), m.id, peer.Roster{Members: []peer.Member{{ID: m.id}}, ReadAt: read, HasRead: tc.known})
 		must.Eq(t, tc.want, m.freshness.EndRound(r, 0))
 	}
--- a/pool/observe.go
+++ b/pool/observe.go
@@ -77,10 +77,10 @@
 	return out
 }
 
-// elapsed returns the time in ms between two marks, as measured by the clock, monotonic or wall,
-// that shows less, so that a clock that jumps ahead does not end a drain early.
+// elapsed returns the time in ms between two marks without suspensions of the machine, so that a
+// drain does not end early after one.
 func (c *Controller) elapsed(now, since clock.Mark) clock.Millis {
-	return min(now.Now-since.Now, now.Wall-since.Wall)
+	return min(now.Now-since.Now, now.Boot-since.Boot)
 }
 
 // unplannedAbsenceChanges compares the instances of the zone that are down with the absences
--- a/rowstore/claimexpiry.go
+++ b/rowstore/claimexpiry.go
@@ -88,8 +88,8 @@
 	return len(tx.Writes), nil
 }
 
-// wallTime returns the wall time of the first step plus the elapsed time since by the clock that
-// counted less, so that a wall clock that is set forward meanwhile expires nothing early.
+// wallTime returns the wall time of the first step plus the elapsed time since, so that a wall clock
+// that is set forward meanwhile expires nothing early.
 func (x *ClaimExpiry) wallTime() clock.Millis {
 	if !x.started {
 		x.firstStep, x.started = x.Clock.Mark(), true
--- a/rowstore/lease_test.go
+++ b/rowstore/lease_test.go
@@ -33,15 +33,13 @@
 		jump := func(*rapid.T) {
 			clocks[pick()].wallOffset += clock.Millis(rapid.IntRange(0, 20_000).Draw(t, "jump"))
 		}
-		// Only the first member's wall clock is set back and only the others are suspended:
-		// both within one term on the same machine hide the time from both of its clocks.
 		back := func(*rapid.T) {
-			clocks[0].wallOffset -= clock.Millis(rapid.IntRange(0, 20_000).Draw(t, "back"))
+			clocks[pick()].wallOffset -= clock.Millis(rapid.IntRange(0, 20_000).Draw(t, "back"))
 		}
 		suspend := func(*rapid.T) {
 			d := clock.Millis(rapid.IntRange(0, 20_000).Draw(t, "suspend"))
 			w.now += d
-			clocks[rapid.IntRange(1, 2).Draw(t, "suspended")].nowOffset -= d
+			clocks[pick()].nowOffset -= d
 		}
 		step := func(*rapid.T) { _ = leases[pick()].Step(ctx) }
 		release := func(t *rapid.T) {
--- a/rowstore/main_test.go
+++ b/rowstore/main_test.go
@@ -39,7 +39,8 @@
 }
 
 // skewedClock is the clock of one member. It starts at an offset from true time. Its wall clock
-// may jump, and its monotonic clock may stand still while the machine is suspended.
+// may jump, and its monotonic clock may stand still while the machine is suspended; only the clock
+// that counts suspensions keeps true time.
 type skewedClock struct {
 	sim                   *simulation
 	nowOffset, wallOffset clock.Millis
@@ -48,6 +49,7 @@
 func (s *skewedClock) clock() clock.Clock {
 	return clock.Clock{
 		NowFunc:  func() clock.Millis { return s.sim.now + s.nowOffset },
+		BootFunc: func() clock.Millis { return s.sim.now },
 		WallFunc: func() clock.Millis { return s.sim.now + s.wallOffset },
 	}
 }
--- a/rowstore/owner_lease_test.go
+++ b/rowstore/owner_lease_test.go
@@ -233,18 +233,40 @@
 // Guards against a holder that sends orders after its authority has ended because its monotonic
 // clock did not count a suspension.
 func TestAuthorityEndsAfterSuspension(t *testing.T) {
-	var now, wall clock.Millis
+	var now, boot clock.Millis
 	s := &fakeStore{}
 	h := newMember(s, "a", &now)
-	h.Clock = clock.Clock{NowFunc: func() clock.Millis { return now }, WallFunc: func() clock.Millis { return wall }}
+	h.Clock = clock.Clock{NowFunc: func() clock.Millis { return now }, BootFunc: func() clock.Millis { return boot }}
 	claimPartition(t, h, s)
-	wall += rowstore.OwnerLeaseAuthority
+	boot += rowstore.OwnerLeaseAuthority
 	must.False(t, h.Authorized())
 	s.down = true
 	var expired *rowstore.LeaseExpiredError
 	must.True(t, errors.As(h.Commit(t.Context(), jobWrite("j")), &expired))
 }
 
+// Guards against a holder that gives its pool up, and a member that takes it over early or late,
+// because the time of day jumped on its machine.
+func TestWallClockJumpsDoNotChangeLeases(t *testing.T) {
+	for _, jump := range []clock.Millis{-3600_000, -9000, 9000, 3600_000} {
+		var now, wall clock.Millis
+		s := &fakeStore{}
+		a, b := newMember(s, "a", &now), newMember(s, "b", &now)
+		jumping := clock.Clock{NowFunc: func() clock.Millis { return now }, WallFunc: func() clock.Millis { return now + wall }}
+		a.Clock, b.Clock = jumping, jumping
+		claimPartition(t, a, s)
+		must.NoError(t, b.Observe(leaseRow(s)))
+		wall += jump
+		must.True(t, a.Authorized(), must.Sprint(jump))
+		must.True(t, a.Exclusive(), must.Sprint(jump))
+		vacant, _ := b.Vacant()
+		must.False(t, vacant, must.Sprint(jump))
+		now += rowstore.OwnerLeaseTerm + 300
+		vacant, _ = b.Vacant()
+		must.True(t, vacant, must.Sprint(jump))
+	}
+}
+
 // Guards against two members that claim at the same time and both succeed.
 func TestRacingClaims(t *testing.T) {
 	var now clock.Millis
