--- a/hosted/claim.go
+++ b/hosted/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"citronknot/clock"
@@ -14,7 +15,7 @@
 // the pools over the members and prefer members with enough CPU: a member waits longer the more
 // pools it already owns, and the further its CPU is below minOwnerCPU.
 const (
-	claimWaitPerPool clock.Millis = 400 // for each pool that the member owns
+	claimWaitPerPool clock.Millis = 400 // for each pool that the member owns or dispatches for
 	// minOwnerCPU is the CPU in cores that the owner of 100 or more workers needs at the poll
 	// interval of package worker. With less, its polls are late and task leases expire.
 	minOwnerCPU = 0.4
@@ -64,7 +65,7 @@
 		if err := lease.Observe(rowstore.Row{}); err != nil { // has an effect only if no row was read: the pool never had an owner
 			p.Log.Error("hosted: skipped an invalid owner lease", "pool", id, "err", err)
 		}
-		vacant, released := lease.Vacant()
+		vacant, former := lease.Vacant()
 		if !p.mayClaim(id, vacant, lease.Holder().Fence == 0) {
 			continue
 		}
@@ -77,7 +78,7 @@
 		case ok && id == fleetPartition:
 			p.leadFleet(lease)
 		case ok:
-			p.runOwner(id, lease, released)
+			p.runOwner(id, lease, former)
 		}
 	}
 }
@@ -97,7 +98,7 @@
 		since = now
 		p.vacantSince[id] = now
 	}
-	ownedPools := len(p.owners)
+	ownedPools := len(p.owners) + len(p.dispatchers)
 	if p.fleetLeader != nil {
 		ownedPools++
 	}
@@ -192,9 +193,9 @@
 
 // runOwner starts the owner of a pool whose lease this member has just claimed. It releases the
 // lease when the owner stops, unless the lease has expired or belongs to another member by then.
-func (p *Process) runOwner(id fleet.PoolID, lease *rowstore.OwnerLease, released bool) {
+func (p *Process) runOwner(id fleet.PoolID, lease *rowstore.OwnerLease, former rowstore.FormerHolder) {
 	poolOwner := owner.New(owner.Config{
-		Pool: id, Lease: lease, Released: released, Table: p.table, Calls: p.calls, Clock: p.Clock, Log: p.Log,
+		Pool: id, Lease: lease, Former: former, CPUCores: p.Settings.CPUCores, Table: p.table, Calls: p.calls, Clock: p.Clock, Log: p.Log,
 		Metrics: p.metrics.owner, FinalStateRetention: p.Settings.FinalStateRetention, Policy: p.queuePolicy, Limited: p.hasLimit, Advise: p.advise, StopTime: p.Settings.MaxStopTime, PollWait: p.workerPollWait(),
 	})
 	ctx, cancel := context.WithCancel(p.ctx)
@@ -211,7 +212,8 @@
 		delete(p.owners, id)
 		p.mu.Unlock()
 		p.Log.Info("hosted: stopped owning a pool", "pool", id, "err", err)
-		if !owner.LeaseLost(err) {
+		var unconfirmed *owner.UnconfirmedStopError
+		if !owner.LeaseLost(err) && !errors.As(err, &unconfirmed) {
 			p.releaseLease(lease)
 		}
 	})
--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -117,6 +117,7 @@
 		} else if !p.closing.Load() {
 			p.claimVacant(ctx)
 			p.requestHandOvers(ctx)
+			p.offerDispatch()
 		}
 		sleep(ctx, leaseFollowInterval)
 	}
--- a/hosted/members.go
+++ b/hosted/members.go
@@ -45,6 +45,8 @@
 	mux.HandleFunc("GET /v1/pools/{pool}/queues/{queue}/pending", p.serveOwner(p.servePending))
 	mux.HandleFunc("GET /v1/pools/{pool}/state", p.servePoolState)
 	mux.HandleFunc("POST /v1/pools/{pool}/hand-over", p.serveHandOver)
+	mux.HandleFunc("POST /v1/pools/{pool}/dispatch/next", p.serveNextBatch)
+	mux.HandleFunc("POST /v1/pools/{pool}/dispatch/results", p.serveResults)
 	mux.HandleFunc("GET /v1/fleet/waves", p.serveMemberWaves)
 	mux.HandleFunc("POST /v1/fleet/report", p.serveReport)
 	mux.HandleFunc("POST /v1/store", p.serveStore)
--- a/hosted/process.go
+++ b/hosted/process.go
@@ -84,10 +84,11 @@
 	lowCPULeases      map[fleet.PoolID]observedLease   // owner leases of low-CPU members
 	formerPools       map[fleet.QueueID][]fleet.PoolID // pools that a queue was assigned to before
 	workers           map[fleet.InstanceID]*platform.Registration
-	workersListed     bool                    // the list of workers was read at least once
-	waves             map[int]configuredWave  // by wave number
-	relayAvoidedUntil map[string]clock.Millis // by address of a member that could not reach the store
-	fleetLeader       *fleetLeader            // nil if this member is not the fleet leader
+	workersListed     bool                             // the list of workers was read at least once
+	waves             map[int]configuredWave           // by wave number
+	relayAvoidedUntil map[string]clock.Millis          // by address of a member that could not reach the store
+	fleetLeader       *fleetLeader                     // nil if this member is not the fleet leader
+	dispatchers       map[fleet.PoolID]*poolDispatcher // of pools that other members own
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -111,6 +112,7 @@
 		members: &memberClient{http: platform.NewHTTPClient(memberConns)}, metrics: newMetrics(config.Dropped),
 		ownerLeases: map[fleet.PoolID]*rowstore.OwnerLease{}, owners: map[fleet.PoolID]*ownedPool{}, vacantSince: map[fleet.PoolID]clock.Millis{}, lowCPULeases: map[fleet.PoolID]observedLease{},
 		formerPools: map[fleet.QueueID][]fleet.PoolID{}, workers: map[fleet.InstanceID]*platform.Registration{}, waves: map[int]configuredWave{}, relayAvoidedUntil: map[string]clock.Millis{},
+		dispatchers: map[fleet.PoolID]*poolDispatcher{},
 	}
 	relayRoute := &rowstore.Relay{Direct: process.directTable, Relayed: process.relayTable, Clock: config.Clock, OnRelay: process.metrics.relayedCalls.Inc}
 	process.table = relayRoute.Table()
@@ -226,8 +228,8 @@
 	p.wg.Wait()
 }
 
-// handOver stops all pool owners and the fleet leader of this member and waits until they have
-// released their leases, so that other members can take over.
+// handOver stops all pool owners, dispatchers and the fleet leader of this member and waits until
+// they have released their leases and workers, so that other members can take over.
 func (p *Process) handOver() {
 	p.mu.Lock()
 	var owned []*ownedPool
@@ -235,12 +237,20 @@
 		o.cancel()
 		owned = append(owned, o)
 	}
+	var dispatchers []*poolDispatcher
+	for _, d := range p.dispatchers {
+		d.cancel()
+		dispatchers = append(dispatchers, d)
+	}
 	leader := p.fleetLeader
 	p.mu.Unlock()
 	if leader != nil {
 		leader.cancel()
 		<-leader.done
 	}
+	for _, d := range dispatchers {
+		<-d.done
+	}
 	for _, o := range owned {
 		<-o.done
 	}
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -88,7 +88,7 @@
 	o.savedKnownWorkers = maps.Clone(o.knownWorkers)
 	o.followKnownWorkers(now)
 	o.loaded = true
-	o.Log.Info("owner: pool taken over", "pool", o.Pool, "fence", o.Lease.Fence(), "released", o.Released,
+	o.Log.Info("owner: pool taken over", "pool", o.Pool, "fence", o.Lease.Fence(), "former", o.Former.String(),
 		"jobs", jobCount, "known_workers", len(o.knownWorkers), "load_ms", int64(now-started), "settle_in_ms", int64(o.formerLeasesEnd-now))
 	return nil
 }
@@ -98,10 +98,7 @@
 // owner that did not release the pool may send orders until its authority ends, and then its
 // last worker lease has to expire.
 func (o *Owner) followKnownWorkers(now clock.Millis) {
-	o.formerLeasesEnd = now + formerLeaseLimit
-	if !o.Released {
-		o.formerLeasesEnd += rowstore.OwnerLeaseAuthority - rowstore.OwnerLeaseTerm
-	}
+	o.formerLeasesEnd = now + formerOrders(o.Former) + formerLeaseLimit
 	for id, k := range o.knownWorkers {
 		o.unconfirmed[id] = true
 		o.followWorker(ListedWorker{Worker: schedule.Worker{ID: id, Incarnation: k.Incarnation}, Address: k.Address}, now)
@@ -276,6 +273,11 @@
 	}
 	close(o.committed)
 	o.committed = make(chan struct{})
+	for _, d := range o.dispatchers {
+		if len(d.changes) > 0 && d.changes[0].ours <= o.durableChange {
+			wake(d.wakeup)
+		}
+	}
 	wake(o.planWake)
 }
 
@@ -313,6 +315,9 @@
 	if e.Detail != "" {
 		args = append(args, "detail", e.Detail)
 	}
+	if e.Kind == "run_ended" && o.endsLogged {
+		return
+	}
 	o.Log.Info("owner: "+e.Kind, args...)
 }
 
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -11,6 +11,8 @@
 	PlanTime   prometheus.Histogram   // seconds of one scheduling pass
 	CommitTime prometheus.Histogram   // seconds until a commit was durable
 	CommitRows prometheus.Counter     // rows written
+	// Dispatchers is the number of dispatchers of each pool that the process owns.
+	Dispatchers *prometheus.GaugeVec
 }
 
 // NewMetrics returns metrics that start at 0 and are not registered.
@@ -34,10 +36,13 @@
 		CommitRows: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "citronknot_commit_rows_total", Help: "Rows written by owners of pools.",
 		}),
+		Dispatchers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "citronknot_pool_dispatchers", Help: "Members that call workers for the owner of a pool.",
+		}, []string{"pool"}),
 	}
 }
 
 // Collectors returns all metrics for registration.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.Orders, m.Events, m.OrderTime, m.PlanTime, m.CommitTime, m.CommitRows}
+	return []prometheus.Collector{m.Orders, m.Events, m.OrderTime, m.PlanTime, m.CommitTime, m.CommitRows, m.Dispatchers}
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
 
 	"citronknot/clock"
+	"citronknot/dispatcher"
 	"citronknot/fleet"
 	"citronknot/job"
 	"citronknot/rowstore"
@@ -18,8 +20,9 @@
 // Config holds the settings and dependencies of an Owner.
 type Config struct {
 	Pool                fleet.PoolID
-	Lease               *rowstore.OwnerLease // the pool's owner lease, which this member holds
-	Released            bool                 // the former holder released the pool, or its process has ended: it sends no more orders
+	Lease               *rowstore.OwnerLease  // the pool's owner lease, which this member holds
+	Former              rowstore.FormerHolder // what is known of the former holder of the lease
+	CPUCores            float64               // of this member; 0 if unknown
 	Table               *rowstore.Table
 	Calls               worker.Calls
 	Clock               clock.Clock
@@ -75,27 +78,26 @@
 	committed     chan struct{}          // closed and replaced after each commit
 	commitStarted clock.Millis           // when the current commit began; 0 if there is none
 
+	divided        bool // dispatchers are to serve the workers; see Divides
+	dispatchers    map[fleet.MemberID]*dispatcherRecord
+	assignments    dispatcher.AssignmentID // the newest one
+	dispatcherLeft chan struct{}           // a dispatcher has stopped while the owner stops; buffers one
+	endsLogged     bool                    // the ended runs that are being recorded were logged elsewhere
+
 	sessionsCtx context.Context // context of the sessions; set by Run before the first one
 	wg          sync.WaitGroup  // counts the planner, the sessions and the orders in flight
 	planWake    chan struct{}   // starts a scheduling pass; buffers one
 	commitWake  chan struct{}   // starts a commit; buffers one
 }
 
-// session is the worker session of one incarnation of a worker.
-type session struct {
-	*worker.Session
-	cancel      context.CancelFunc
-	incarnation clock.Millis
-	address     string
-}
-
 // New returns an owner, which serves once Run is called.
 func New(c Config) *Owner {
 	o := &Owner{
 		Config: c, listedWorkers: map[fleet.InstanceID]schedule.Worker{}, addresses: map[fleet.InstanceID]string{},
 		sessions: map[fleet.InstanceID]*session{}, knownWorkers: map[fleet.InstanceID]knownWorker{},
 		savedKnownWorkers: map[fleet.InstanceID]knownWorker{}, endedIncarnations: map[fleet.InstanceID]clock.Millis{}, unconfirmed: map[fleet.InstanceID]bool{},
-		submissions: map[job.ID]*submission{}, committed: make(chan struct{}), planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
+		submissions: map[job.ID]*submission{}, committed: make(chan struct{}), dispatchers: map[fleet.MemberID]*dispatcherRecord{}, dispatcherLeft: make(chan struct{}, 1),
+		planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
 	}
 	return o
 }
@@ -113,7 +115,8 @@
 const runsPerOwnerLease = 1000
 
 // Run serves the pool until ctx ends or the owner lease is lost. In the latter case it returns
-// *rowstore.LeaseLostError or *rowstore.LeaseExpiredError. No order is in flight when Run returns.
+// *rowstore.LeaseLostError or *rowstore.LeaseExpiredError. No order is in flight when Run returns,
+// unless it returns one of these or *UnconfirmedStopError.
 func (o *Owner) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -126,17 +129,39 @@
 	cancel()
 	o.shutDown(err)
 	o.wg.Wait()
+	if LeaseLost(err) {
+		return err
+	}
+	if !o.awaitDispatchers() {
+		return &UnconfirmedStopError{Pool: o.Pool}
+	}
 	return err
 }
 
+// UnconfirmedStopError reports that an owner has stopped, but that a dispatcher may still be calling
+// workers for it. The owner lease must expire; it must not be released.
+type UnconfirmedStopError struct {
+	Pool fleet.PoolID
+}
+
+func (e *UnconfirmedStopError) Error() string {
+	return fmt.Sprintf("owner: a dispatcher of pool %s has not confirmed that it has stopped", e.Pool)
+}
+
 // shutDown ends the sessions and fails all submissions that are not durable.
 func (o *Owner) shutDown(err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.stopped = true
 	for _, s := range o.sessions {
-		s.cancel()
+		if s.dispatcher == nil {
+			s.cancel()
+		}
 	}
+	for _, d := range o.dispatchers {
+		wake(d.wakeup)
+	}
+	o.Metrics.Dispatchers.DeleteLabelValues(string(o.Pool))
 	for _, s := range o.submissions {
 		s.fail(err)
 	}
@@ -178,6 +203,8 @@
 	o.mu.Lock()
 	now := o.Clock.Now()
 	o.finishRecovery(now)
+	o.checkDispatchers(now)
+	o.divide(now)
 	orders := o.pool.Plan(now, o.Clock.Wall())
 	for i := range orders {
 		order := orders[i]
@@ -190,6 +217,11 @@
 			o.pool.Answered(order, schedule.NotSent, now)
 			continue
 		}
+		if s.dispatcher != nil {
+			o.enqueueOrder(s, order)
+			continue
+		}
+		s.inFlight++
 		o.wg.Go(func() { o.sendOrder(ctx, s, order) })
 	}
 	dirty := o.pool.Dirty()
@@ -203,12 +235,13 @@
 // sendOrder sends one order to a worker and records its outcome in the pool.
 func (o *Owner) sendOrder(ctx context.Context, s *session, order schedule.Order) {
 	started := time.Now()
-	outcome, result := s.Order(ctx, order)
+	outcome, result := s.own.Order(ctx, order)
 	o.Metrics.Orders.WithLabelValues(order.Kind.String(), result.String()).Inc()
 	o.Metrics.OrderTime.Observe(time.Since(started).Seconds())
 	o.Log.Info("owner: order completed", "order", order.Kind.String(), "task", order.Task.String(), "run", order.Run,
 		"worker", order.Worker, "pool", o.Pool, "fence", o.Lease.Fence(), "reason", string(order.Reason), "answer", result.String())
 	o.mu.Lock()
+	s.inFlight--
 	o.pool.Answered(order, outcome, o.Clock.Now())
 	startsDeferred := o.pool.StartsDeferred()
 	o.mu.Unlock()
--- a/owner/queries.go
+++ b/owner/queries.go
@@ -1,6 +1,9 @@
 package owner
 
 import (
+	"cmp"
+	"slices"
+
 	"citronknot/fleet"
 	"citronknot/schedule"
 )
@@ -13,18 +16,41 @@
 	if !o.loaded || o.stopped {
 		return 0, &RefusedError{Reason: "the pool changes its owner", RetryAfter: retryAfterNoOwner}
 	}
-	return o.pool.Pending()[q], nil
+	return o.pool.Pending(q), nil
 }
 
 // Dump is the state of a pool at its owner, for diagnosis.
 type Dump struct {
-	Fence        uint64         `json:"fence"`
-	Recovered    bool           `json:"settled"`
-	Unconfirmed  int            `json:"workers_unproven"`
-	Submissions  int            `json:"submissions_waiting"`
-	SinceCommit  int64          `json:"since_commit_ms"`
-	KnownWorkers int            `json:"known_workers"`
-	Schedule     *schedule.Dump `json:"schedule"`
+	Fence        uint64 `json:"fence"`
+	Recovered    bool   `json:"settled"`
+	Unconfirmed  int    `json:"workers_unproven"`
+	Submissions  int    `json:"submissions_waiting"`
+	SinceCommit  int64  `json:"since_commit_ms"`
+	KnownWorkers int    `json:"known_workers"`
+	// Divided says that dispatchers are to serve the workers; DispatchersWanted is how many more
+	// the owner asks for.
+	Divided           bool             `json:"divided"`
+	DispatchersWanted int              `json:"dispatchers_wanted"`
+	Dispatchers       []DispatcherDump `json:"dispatchers"`
+	Schedule          *schedule.Dump   `json:"schedule"`
+}
+
+// DispatcherDump is the state of a dispatcher at the owner.
+type DispatcherDump struct {
+	Member    fleet.MemberID `json:"member"`
+	Workers   int            `json:"workers"`
+	Capacity  int            `json:"capacity"`
+	Suspected bool           `json:"suspected"`
+}
+
+// dumpDispatchers returns the state of the dispatchers, by member.
+func (o *Owner) dumpDispatchers() []DispatcherDump {
+	out := make([]DispatcherDump, 0, len(o.dispatchers))
+	for _, d := range o.dispatchers {
+		out = append(out, DispatcherDump{Member: d.member, Workers: len(d.sessions), Capacity: d.capacity, Suspected: d.suspected})
+	}
+	slices.SortFunc(out, func(a, b DispatcherDump) int { return cmp.Compare(a.Member, b.Member) })
+	return out
 }
 
 // Dump returns the current state of the pool. The schedule is nil until the pool is loaded.
@@ -34,6 +60,7 @@
 	d := &Dump{
 		Fence: o.Lease.Fence(), Unconfirmed: len(o.unconfirmed), Submissions: len(o.submissions),
 		SinceCommit: int64(o.Lease.SinceCommit()), KnownWorkers: len(o.knownWorkers),
+		Divided: o.divided, DispatchersWanted: o.dispatchersWanted(), Dispatchers: o.dumpDispatchers(),
 	}
 	if o.loaded {
 		d.Recovered = o.pool.RecoveryFinished()
--- a/owner/recovery_test.go
+++ b/owner/recovery_test.go
@@ -94,6 +94,9 @@
 			w.starts++
 			return worker.Answer{Result: worker.Done}, nil
 		},
+		Stop: func(context.Context, worker.Target, job.Ref, int, uint64) (worker.Answer, error) {
+			return worker.Answer{Result: worker.Done}, nil
+		},
 	}
 }
 
--- /dev/null
+++ b/owner/sessions.go
@@ -0,0 +1,96 @@
+package owner
+
+import (
+	"context"
+
+	"citronknot/clock"
+	"citronknot/dispatcher"
+	"citronknot/fleet"
+	"citronknot/rowstore"
+	"citronknot/schedule"
+	"citronknot/worker"
+)
+
+// session is how the owner reaches one incarnation of a worker: through a worker session of its own
+// or through a dispatcher.
+type session struct {
+	worker      fleet.InstanceID
+	incarnation clock.Millis
+	address     string
+
+	own      *worker.Session // nil if a dispatcher serves the worker
+	cancel   context.CancelFunc
+	inFlight int // orders through own without an outcome
+
+	dispatcher *dispatcherRecord // nil if the owner serves the worker
+	assignment dispatcher.AssignmentID
+	reachable  bool // as the dispatcher reported last
+}
+
+// startSession starts to poll a worker that is recorded durably, through a dispatcher if the pool is
+// divided and one has capacity left.
+func (o *Owner) startSession(id fleet.InstanceID, incarnation clock.Millis, address string, now clock.Millis) {
+	s := &session{worker: id, incarnation: incarnation, address: address}
+	o.sessions[id] = s
+	if d := o.chooseDispatcher(); d != nil {
+		o.assignTo(d, s, now)
+		return
+	}
+	o.pool.SetDispatcher(id, "")
+	o.startOwnSession(s, now)
+}
+
+// endSession stops polling a worker.
+func (o *Owner) endSession(s *session) {
+	delete(o.sessions, s.worker)
+	if s.dispatcher != nil {
+		o.unassign(s)
+		return
+	}
+	s.cancel()
+}
+
+// restartSession replaces the session with a worker whose leases have expired. The former one sends no
+// starts any more, because the tasks may start on other workers.
+func (o *Owner) restartSession(s *session, now clock.Millis) {
+	o.endSession(s)
+	o.startSession(s.worker, s.incarnation, s.address, now)
+}
+
+// startOwnSession starts a worker session of this member.
+func (o *Owner) startOwnSession(s *session, now clock.Millis) {
+	ctx, cancel := context.WithCancel(o.sessionsCtx)
+	s.cancel = cancel
+	s.own = worker.NewSession(worker.Config{
+		Calls: o.Calls, Target: worker.Target{ID: s.worker, Address: s.address}, Incarnation: s.incarnation, Clock: o.Clock,
+		Fence: o.Lease.Fence(), PollWait: o.PollWait, Log: o.Log, Authorized: o.mayGiveOrders, FormerLeasesEnd: now + o.formerLeases(now),
+		Report:    func(ctx context.Context, r schedule.Report) uint64 { return o.handleReport(ctx, s, r) },
+		Durable:   o.lastDurableChange,
+		Reachable: func(yes bool) { o.ifCurrent(s, func(clock.Millis) { o.pool.SetReachable(s.worker, yes) }) },
+		Lost: func(reason string) {
+			o.ifCurrent(s, func(now clock.Millis) { o.loseIncarnation(s.worker, reason, now) })
+		},
+		Expired:       func() bool { return o.handleExpiredLeases(s) },
+		OnHigherFence: o.handleHigherFence,
+	})
+	own := s.own
+	o.wg.Go(func() { own.Run(ctx) })
+}
+
+// formerLeases returns the longest time from now for which leases can last that the former owner, or
+// a session of this owner that has ended, gave to a worker's runs.
+func (o *Owner) formerLeases(now clock.Millis) clock.Millis {
+	return max(formerLeaseLimit, o.formerLeasesEnd-now)
+}
+
+// formerOrders returns the longest time for which orders of a former owner may still be sent after
+// another member took the pool over.
+func formerOrders(former rowstore.FormerHolder) clock.Millis {
+	switch former {
+	case rowstore.HolderReleased:
+		return 0
+	case rowstore.HolderEnded:
+		return dispatcher.GrantLength // its dispatchers outlive it
+	}
+	return rowstore.OwnerLeaseAuthority - rowstore.OwnerLeaseTerm
+}
--- a/owner/workers.go
+++ b/owner/workers.go
@@ -11,7 +11,6 @@
 	"citronknot/fleet"
 	"citronknot/rowstore"
 	"citronknot/schedule"
-	"citronknot/worker"
 )
 
 // ListedWorker is a worker as the platform lists it, with the network address at which it is
@@ -81,37 +80,28 @@
 		return
 	}
 	if s != nil {
-		s.cancel()
-	}
-	sessionCtx, cancel := context.WithCancel(o.sessionsCtx)
-	id, incarnation := l.ID, l.Incarnation
-	s = &session{cancel: cancel, incarnation: incarnation, address: l.Address}
-	s.Session = worker.NewSession(worker.Config{
-		Calls: o.Calls, Target: worker.Target{ID: id, Address: l.Address}, Incarnation: incarnation, Clock: o.Clock,
-		Fence: o.Lease.Fence(), PollWait: o.PollWait, Log: o.Log, Authorized: o.mayGiveOrders,
-		Report:    func(ctx context.Context, r schedule.Report) uint64 { return o.handleReport(ctx, id, incarnation, r) },
-		Durable:   o.lastDurableChange,
-		Reachable: func(yes bool) { o.ifCurrent(id, incarnation, func(clock.Millis) { o.pool.SetReachable(id, yes) }) },
-		Lost: func(reason string) {
-			o.ifCurrent(id, incarnation, func(now clock.Millis) { o.confirmWorker(id); o.removeWorker(id, reason, now) })
-		},
-		Expired:       func() bool { return o.handleExpiredLeases(id, incarnation) },
-		OnHigherFence: o.handleHigherFence,
-	})
-	o.sessions[id] = s
-	o.wg.Go(func() { s.Run(sessionCtx) })
-}
-
-// ifCurrent runs f under the lock if the worker's current session is that of this incarnation.
-func (o *Owner) ifCurrent(id fleet.InstanceID, incarnation clock.Millis, f func(now clock.Millis)) {
+		o.endSession(s)
+	}
+	o.startSession(l.ID, l.Incarnation, l.Address, now)
+}
+
+// ifCurrent runs f under the lock if the owner still polls the worker through this session of its
+// own.
+func (o *Owner) ifCurrent(s *session, f func(now clock.Millis)) {
 	o.mu.Lock()
-	if s := o.sessions[id]; s != nil && s.incarnation == incarnation && !o.stopped {
+	if o.isCurrent(s) {
 		f(o.Clock.Now())
 	}
 	o.mu.Unlock()
 	wake(o.planWake)
 }
 
+// isCurrent reports whether the owner polls a worker through this session of its own. A session that
+// was ended, or whose worker was given to a dispatcher, may still have a response in hand.
+func (o *Owner) isCurrent(s *session) bool {
+	return o.sessions[s.worker] == s && s.dispatcher == nil && !o.stopped
+}
+
 // confirmWorker marks a worker as confirmed: this owner has received the list of its runs, or nothing
 // runs on it any more.
 func (o *Owner) confirmWorker(id fleet.InstanceID) { delete(o.unconfirmed, id) }
@@ -121,31 +111,41 @@
 func (o *Owner) removeWorker(id fleet.InstanceID, reason string, now clock.Millis) {
 	o.pool.RemoveWorker(id, reason, now)
 	if s := o.sessions[id]; s != nil {
-		s.cancel()
-		delete(o.sessions, id)
+		o.endSession(s)
 	}
 	delete(o.knownWorkers, id)
 	o.knownWorkersDirty = true
 	wake(o.commitWake)
 }
 
+// loseIncarnation removes an incarnation of which a session has found that it has ended.
+func (o *Owner) loseIncarnation(id fleet.InstanceID, reason string, now clock.Millis) {
+	o.confirmWorker(id)
+	o.removeWorker(id, reason, now)
+}
+
 // handleExpiredLeases records that the leases given to a worker have expired, and reports whether
 // it did. Expiry means that nothing runs there only if no other owner can have extended the
-// leases since, so it is not recorded unless this member is certain to hold the owner lease. A
-// worker that is not listed is removed as well.
-func (o *Owner) handleExpiredLeases(id fleet.InstanceID, incarnation clock.Millis) bool {
+// leases since, so it is not recorded unless this member is certain to hold the owner lease.
+func (o *Owner) handleExpiredLeases(s *session) bool {
 	if !o.Lease.Exclusive() {
 		return false
 	}
-	o.ifCurrent(id, incarnation, func(now clock.Millis) {
-		o.pool.ExpireLeases(id, now)
-		if _, listed := o.listedWorkers[id]; !listed {
-			o.removeWorker(id, "it is not listed and its leases have expired", now)
-		}
-	})
+	o.ifCurrent(s, func(now clock.Millis) { o.expireLeases(s, now) })
 	return true
 }
 
+// expireLeases ends the runs of a worker whose leases have expired. A worker that is not listed is
+// removed as well; another one gets a new session.
+func (o *Owner) expireLeases(s *session, now clock.Millis) {
+	o.pool.ExpireLeases(s.worker, now)
+	if _, listed := o.listedWorkers[s.worker]; !listed {
+		o.removeWorker(s.worker, "it is not listed and its leases have expired", now)
+		return
+	}
+	o.restartSession(s, now)
+}
+
 // handleHigherFence gives up the owner lease after a worker has accepted a higher fence, which
 // means that another member holds the lease.
 func (o *Owner) handleHigherFence() {
@@ -161,20 +161,17 @@
 // handleReport applies the result of a poll to the pool. It returns the number of the change that
 // makes the report's ended runs durable, 0 if there are none, and the highest number if the
 // session is no longer current, so that these runs never count as durable.
-func (o *Owner) handleReport(ctx context.Context, id fleet.InstanceID, incarnation clock.Millis, r schedule.Report) uint64 {
+func (o *Owner) handleReport(ctx context.Context, s *session, r schedule.Report) uint64 {
 	o.mu.Lock()
-	if s := o.sessions[id]; s == nil || s.incarnation != incarnation || o.stopped {
+	if !o.isCurrent(s) {
 		o.mu.Unlock()
 		return ^uint64(0)
 	}
-	now := o.Clock.Now()
-	o.confirmWorker(id)
-	o.pool.Observe(id, r, now)
+	o.observe(s.worker, r, o.Clock.Now())
 	if len(r.Ended) == 0 {
 		o.mu.Unlock()
 		return 0
 	}
-	o.lastChange++
 	change := o.lastChange
 	o.mu.Unlock()
 	wake(o.planWake)
@@ -183,6 +180,15 @@
 	return change
 }
 
+// observe applies the result of a poll to the pool. Ended runs in it get the next number of a change.
+func (o *Owner) observe(id fleet.InstanceID, r schedule.Report, now clock.Millis) {
+	o.confirmWorker(id)
+	o.pool.Observe(id, r, now)
+	if len(r.Ended) > 0 {
+		o.lastChange++
+	}
+}
+
 // awaitDurable waits until a change is durable, for durableWait at most.
 func (o *Owner) awaitDurable(ctx context.Context, change uint64) {
 	timer := time.NewTimer(durableWait)
--- a/rowstore/owner_lease.go
+++ b/rowstore/owner_lease.go
@@ -62,6 +62,7 @@
 	versionRead clock.Mark // when version was first read
 	held        bool
 	commitSent  clock.Mark // taken just before the last successful commit was sent
+	wanted      int        // see WantDispatchers
 }
 
 type wireOwnerLease struct {
@@ -70,6 +71,7 @@
 	Fence   uint64 `json:"fence"`
 	Attempt string `json:"attempt"`
 	Weak    bool   `json:"weak,omitempty"`
+	Wanted  int    `json:"dispatchers_wanted,omitempty"`
 }
 
 // Holder describes the holder of an owner lease, as its row was last read.
@@ -78,6 +80,8 @@
 	Address string
 	Fence   uint64
 	LowCPU  bool // see OwnerLease
+	// DispatchersWanted is the number of other members that the holder asks to call workers for it.
+	DispatchersWanted int
 }
 
 func (l *OwnerLease) ref() Ref {
@@ -117,24 +121,37 @@
 func (l *OwnerLease) Holder() Holder {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Holder{Member: fleet.MemberID(l.row.Holder), Address: l.row.Address, Fence: l.row.Fence, LowCPU: l.row.Weak}
+	return Holder{Member: fleet.MemberID(l.row.Holder), Address: l.row.Address, Fence: l.row.Fence, LowCPU: l.row.Weak, DispatchersWanted: l.row.Wanted}
 }
 
-// Vacant reports whether this member may claim the partition, and whether it was released or
-// never held. In the latter case the former holder sends no more orders.
-func (l *OwnerLease) Vacant() (vacant, released bool) {
+// FormerHolder is what is known of the former holder of a vacant partition.
+type FormerHolder uint8
+
+// The kinds of former holders.
+const (
+	HolderExpired  FormerHolder = iota // it has not renewed the lease, and may be sending orders
+	HolderEnded                        // its process has ended, but members that it authorized may be sending orders
+	HolderReleased                     // it has released the partition, or there was none: nobody sends orders
+)
+
+// String returns the name of the kind in log lines.
+func (f FormerHolder) String() string { return [...]string{"expired", "ended", "released"}[f] }
+
+// Vacant reports whether this member may claim the partition, and what is known of the former
+// holder.
+func (l *OwnerLease) Vacant() (vacant bool, former FormerHolder) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case !l.rowRead || l.held:
-		return false, false
+		return false, HolderExpired
 	case l.row.Holder == "":
-		return true, true
+		return true, HolderReleased
 	case l.row.Holder == string(l.Self) && l.row.Address == l.Address:
 		// Written by an earlier process at this address, which has ended.
-		return true, true
+		return true, HolderEnded
 	}
-	return l.Clock.MinElapsed(l.versionRead) >= OwnerLeaseTerm+ownerLeaseDrift, false
+	return l.Clock.MinElapsed(l.versionRead) >= OwnerLeaseTerm+ownerLeaseDrift, HolderExpired
 }
 
 // Claim tries to acquire the owner lease. ok is false if another member acquired it first. It
@@ -164,7 +181,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.rowRead, l.version, l.row, l.versionRead = true, versions[0], next, l.Clock.Mark()
-	l.held, l.commitSent = true, sent
+	l.held, l.commitSent, l.wanted = true, sent, 0
 	return true, nil
 }
 
@@ -210,7 +227,7 @@
 		return false, &LeaseLostError{Partition: l.Partition, Holder: holder}
 	}
 	next := l.row
-	next.Attempt = attempt
+	next.Attempt, next.Wanted = attempt, l.wanted
 	check := Check{Ref: l.ref(), Version: l.version}
 	sent := l.Clock.Mark()
 	l.mu.Unlock()
@@ -270,6 +287,14 @@
 // fence.
 func (l *OwnerLease) MarkLost() { l.markLost() }
 
+// WantDispatchers asks n other members to call workers for the holder. They learn it from the row that
+// the next commit writes.
+func (l *OwnerLease) WantDispatchers(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wanted = n
+}
+
 // Fence returns the fencing number that the holder's orders carry.
 func (l *OwnerLease) Fence() uint64 {
 	l.mu.Lock()
--- a/rowstore/owner_lease_test.go
+++ b/rowstore/owner_lease_test.go
@@ -165,9 +165,9 @@
 	now += rowstore.OwnerLeaseTerm + 300
 	must.False(t, a.Exclusive(), must.Sprint("Certain must end before another member can take over"))
 	must.True(t, a.Authorized(), must.Sprint("a holder that can't write may still send orders"))
-	vacant, released := b.Vacant()
+	vacant, former := b.Vacant()
 	must.True(t, vacant)
-	must.False(t, released)
+	must.Eq(t, rowstore.HolderExpired, former)
 	claimPartition(t, b, s)
 	must.Greater(t, a.Fence(), b.Fence())
 	var leaseLost *rowstore.LeaseLostError
@@ -208,9 +208,9 @@
 	s.loseResponses = false
 	must.NoError(t, a.Release(t.Context()))
 	must.NoError(t, b.Observe(leaseRow(s)))
-	vacant, released := b.Vacant()
+	vacant, former := b.Vacant()
 	must.True(t, vacant)
-	must.True(t, released)
+	must.Eq(t, rowstore.HolderReleased, former)
 }
 
 // Guards against members that wait for the whole term after a planned stop, and against a new
@@ -223,9 +223,9 @@
 	must.NoError(t, a.Release(t.Context()))
 	must.False(t, a.Authorized())
 	must.NoError(t, b.Observe(leaseRow(s)))
-	vacant, released := b.Vacant()
+	vacant, former := b.Vacant()
 	must.True(t, vacant)
-	must.True(t, released)
+	must.Eq(t, rowstore.HolderReleased, former)
 	claimPartition(t, b, s)
 	must.Eq(t, 2, b.Fence())
 }
--- a/schedule/dump.go
+++ b/schedule/dump.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"maps"
+
 	"citronknot/fleet"
 	"citronknot/job"
 )
@@ -29,7 +31,7 @@
 
 // Dump returns a snapshot of the state of the pool.
 func (p *Pool) Dump() *Dump {
-	d := &Dump{Jobs: map[job.State]int{}, Waiting: p.waitingTasks(), Queues: p.Pending()}
+	d := &Dump{Jobs: map[job.State]int{}, Waiting: p.waitingTasks(), Queues: maps.Clone(p.pendingJobs)}
 	for _, j := range p.jobs {
 		d.Jobs[j.durableState]++
 	}
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -44,6 +44,9 @@
 // State returns the job's durable state, which is the one that callers see.
 func (j *Job) State() job.State { return j.durableState }
 
+// isPending reports whether no task of the job has started and one may still start.
+func (j *Job) isPending() bool { return !j.started && !j.state.Final() }
+
 // attempts returns the number of failures of one task after which the job fails.
 func (j *Job) attempts() int { return max(1, j.policy.Attempts) }
 
--- a/schedule/load.go
+++ b/schedule/load.go
@@ -45,7 +45,7 @@
 		}
 		l.Workers = append(l.Workers, d)
 	}
-	for _, s := range p.ready {
+	for _, s := range p.ready.steps {
 		if s.waitingTasks == 0 || s.job.state.Final() {
 			continue
 		}
@@ -69,7 +69,7 @@
 			out[team] = TeamLoad{Used: used, Demand: used}
 		}
 	}
-	for _, s := range p.ready {
+	for _, s := range p.ready.steps {
 		if s.waitingTasks > 0 && !s.job.state.Final() {
 			l := out[s.job.Team]
 			l.Demand = l.Demand.Add(s.spec.Needs.Scale(int64(s.waitingTasks)))
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -24,6 +24,7 @@
 		i, _ := slices.BinarySearchFunc(p.sortedWorkers, d.ID, func(o *worker, id fleet.InstanceID) int { return cmp.Compare(o.ID, id) })
 		p.sortedWorkers = slices.Insert(p.sortedWorkers, i, w)
 		p.byFreeCPU.add(w)
+		p.setStarter(w, "")
 		p.emit(Event{Kind: "worker_found", Worker: d.ID})
 	}
 	if d.Draining && !w.Draining {
@@ -57,6 +58,7 @@
 	delete(p.workers, id)
 	p.sortedWorkers = slices.DeleteFunc(p.sortedWorkers, func(o *worker) bool { return o == w })
 	p.byFreeCPU.remove(w)
+	p.clearStarter(w)
 	p.countLeaving()
 	p.emit(Event{Kind: "worker_lost", Worker: id, Detail: reason})
 	p.endAllRuns(w, now)
@@ -104,6 +106,9 @@
 	for i := range r.Ended {
 		p.observeEnd(w, &r.Ended[i], now)
 	}
+	if r.EndsOnly {
+		return
+	}
 	for i := range r.Running {
 		p.observeRun(w, &r.Running[i], r.RequestedAt, now)
 	}
@@ -162,7 +167,7 @@
 	t.run = r.Run
 	t.mayBeStopping, t.adoptedAt = p.StopTime > 0, now
 	p.assign(t, w, running, now)
-	t.step.job.started = true
+	p.markStarted(t.step.job)
 	p.recordProgress(t, r, now)
 	p.emit(Event{Kind: "run_adopted", Task: r.Task, Run: r.Run, Worker: w.ID})
 }
@@ -183,11 +188,11 @@
 
 // confirmStart records that a start took effect.
 func (p *Pool) confirmStart(t *task, now clock.Millis) {
-	delete(p.startingTasks, t)
+	p.clearStarting(t)
 	t.setState(running, now)
 	j := t.step.job
 	if !j.started {
-		j.started = true
+		p.markStarted(j)
 		if j.state == job.Queued {
 			j.state, j.durableState = job.Running, job.Running
 		}
@@ -274,7 +279,7 @@
 		p.orders = append(p.orders, Order{Kind: Stop, Worker: t.worker.ID, Incarnation: t.worker.Incarnation, Task: t.ref(), Run: t.run, Reason: StopUnexpected})
 	}
 	delete(p.stoppingTasks, t)
-	delete(p.startingTasks, t)
+	p.clearStarting(t)
 	t.setState(done, now)
 	t.step.doneTasks++
 	t.step.job.progress.MarkDone(t.position())
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -102,6 +102,7 @@
 // Report is a worker's response to one poll.
 type Report struct {
 	RequestedAt clock.Millis // when the poll was sent
+	EndsOnly    bool         // Running is left out
 	Running     []RunReport
 	Ended       []EndReport // only ends that were not reported before
 }
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"cmp"
 	"slices"
 
 	"citronknot/clock"
@@ -102,55 +101,36 @@
 	return nil
 }
 
-// rankedStep is a step with its rank during one pass of placeWaitingTasks.
-type rankedStep struct {
-	rank
-	step *stepRun
-}
-
-// compareRankedSteps orders steps by class, priority and latest start, then by time of
-// acceptance and job id.
-func compareRankedSteps(a, b rankedStep) int {
-	return cmp.Or(
-		cmp.Compare(a.class, b.class),
-		cmp.Compare(a.priority, b.priority),
-		cmp.Compare(a.latestStart, b.latestStart),
-		cmp.Compare(a.step.job.acceptedAt, b.step.job.acceptedAt),
-		cmp.Compare(a.step.job.ID, b.step.job.ID),
-	)
-}
-
 // placeWaitingTasks starts waiting tasks on workers with free capacity, in the order of their
 // steps' ranks.
 func (p *Pool) placeWaitingTasks(now clock.Millis) {
-	p.startsDeferred = false
-	p.ready = slices.DeleteFunc(p.ready, func(s *stepRun) bool {
-		s.inReady = s.waitingTasks > 0 && !s.job.state.Final()
-		return !s.inReady
-	})
-	if len(p.ready) == 0 {
-		return
-	}
-	list := make([]rankedStep, len(p.ready))
-	for i, s := range p.ready {
-		list[i] = rankedStep{rank: s.rank(now), step: s}
-	}
-	slices.SortFunc(list, compareRankedSteps)
-	for i := range list {
+	p.startsDeferred, p.searches = false, 0
+	p.ready.update(now)
+	var full noCapacity
+	for i := range p.ready.ranked {
 		if p.startLimitReached() {
 			return
 		}
-		s := list[i].step
-		if s.spec.Gang {
-			p.placeGang(s, now)
+		r := &p.ready.ranked[i]
+		if full.covers(r.needs) || !r.step.isReady() {
+			continue
+		}
+		placed := true
+		if r.step.spec.Gang {
+			p.placeGang(r.step, now)
 		} else {
-			p.placeStep(s, now)
+			placed = p.placeStep(r.step, now)
+		}
+		if !placed {
+			full.record(r)
 		}
 	}
 }
 
-// placeStep starts the waiting tasks of a step for which there is a worker.
-func (p *Pool) placeStep(s *stepRun, now clock.Millis) {
+// placeStep starts the waiting tasks of a step for which there is a worker. It returns false if a
+// task that has not failed before found no worker, so that the capacity of the pool is used up for
+// tasks like it.
+func (p *Pool) placeStep(s *stepRun, now clock.Millis) bool {
 	if s.job.policy.Advised {
 		p.requestAdvice(s, now)
 	}
@@ -160,17 +140,18 @@
 			continue
 		}
 		if !p.withinAllowance(s, 1) || p.startLimitReached() {
-			return
+			return true
 		}
 		w := p.chooseWorker(t, now)
 		if w == nil {
 			if len(t.failedOn) == 0 {
-				return // the other tasks of the step have the same needs
+				return false // the other tasks of the step have the same needs
 			}
 			continue
 		}
 		p.start(t, w, max(t.run, p.RunBase)+1, now)
 	}
+	return true
 }
 
 // withinAllowance reports whether a team may have n more tasks of a step running. It is the
@@ -234,6 +215,7 @@
 func (p *Pool) chooseWorker(t *task, now clock.Millis) *worker {
 	var best *worker
 	var bestCost int64
+	p.searches++
 	needs := t.needs()
 	spec := t.step.spec
 	packed := !spec.BestEffort && !spec.LongRunning
@@ -242,17 +224,17 @@
 		candidates = p.byFreeCPU.withFreeCPU(needs.CPU)
 	}
 	for _, w := range candidates {
-		if !w.acceptsStarts(now) || !w.hasLabel(t.step.spec.Label) || !needs.Fits(w.free()) {
+		if !w.acceptsStarts(now) || !w.hasLabel(spec.Label) || !needs.Fits(w.free()) || p.starterBusy(w) {
 			continue
 		}
 		if t.step.job.policy.Advised && !t.step.advice.allows(w, now) {
 			continue
 		}
 		siblings := 0
-		if t.step.spec.MaxPerWorker > 0 || t.step.spec.LongRunning {
+		if spec.MaxPerWorker > 0 || spec.LongRunning {
 			siblings = t.step.countOn(w)
 		}
-		if m := t.step.spec.MaxPerWorker; m > 0 && siblings >= m {
+		if m := spec.MaxPerWorker; m > 0 && siblings >= m {
 			continue
 		}
 		cost := p.cost(t, w, siblings)
@@ -410,12 +392,3 @@
 	}
 	return t.orderedPace
 }
-
-// waitingTasks returns the number of tasks in state waiting.
-func (p *Pool) waitingTasks() int {
-	n := 0
-	for _, s := range p.ready {
-		n += s.waitingTasks
-	}
-	return n
-}
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -18,9 +18,9 @@
 	// StopRepeat is the time after which a stop without a response is sent again. 0 means 700
 	// ms.
 	StopRepeat clock.Millis
-	// MaxStarting limits the number of pending starts; 0 means no limit. Without a limit, an
-	// owner with little CPU would send more starts at once than it can process responses for,
-	// and its polls would be late.
+	// MaxStarting limits the pending starts of each member that sends orders; 0 means no limit.
+	// Without a limit, a member with little CPU would send more starts at once than it can
+	// process responses for, and its polls would be late.
 	MaxStarting int
 	// StopTime is the longest time that a worker takes to carry out a stop.
 	StopTime clock.Millis
@@ -45,17 +45,20 @@
 	leavingWorkers   int         // number of workers that are cordoned or draining
 	bestEffortTasks  int         // number of best-effort tasks that occupy a worker
 	jobs             map[job.ID]*Job
-	ready            []*stepRun // steps with waiting tasks
-	timedJobs        []*Job     // jobs with occurrences that are not due yet
+	ready            readyList
+	timedJobs        []*Job // jobs with occurrences that are not due yet
 	usedByTeam       map[fleet.TeamID]job.Resources
 	allowanceByTeam  map[fleet.TeamID]job.Resources // only of teams with a limit
+	pendingJobs      map[fleet.QueueID]int          // jobs of which no task has started
 	arrivedWork      int64                          // see Load.Arrived
 	dirtyJobs        map[job.ID]*Job
 	orders           []Order
-	stoppingTasks    map[*task]bool // tasks in state stopping
-	startingTasks    map[*task]bool // tasks in state starting
-	recoveryFinished bool           // recovered tasks may start
-	startsDeferred   bool           // the last pass left out starts because of MaxStarting
+	stoppingTasks    map[*task]bool              // tasks in state stopping
+	startingTasks    map[*task]*starter          // tasks in state starting, with the member that sent the order
+	starters         map[fleet.MemberID]*starter // members that have workers; the empty id is the owner
+	recoveryFinished bool                        // recovered tasks may start
+	startsDeferred   bool                        // the last pass left out starts because of MaxStarting
+	searches         int                         // workers searched for a task in the last pass
 }
 
 // New returns an empty pool. Tasks of recovered jobs do not start before [Pool.FinishRecovery] is
@@ -70,7 +73,8 @@
 	return &Pool{
 		Config: c, workers: map[fleet.InstanceID]*worker{}, jobs: map[job.ID]*Job{},
 		usedByTeam: map[fleet.TeamID]job.Resources{}, allowanceByTeam: map[fleet.TeamID]job.Resources{},
-		dirtyJobs: map[job.ID]*Job{}, stoppingTasks: map[*task]bool{}, startingTasks: map[*task]bool{},
+		dirtyJobs: map[job.ID]*Job{}, stoppingTasks: map[*task]bool{}, startingTasks: map[*task]*starter{},
+		starters: map[fleet.MemberID]*starter{}, pendingJobs: map[fleet.QueueID]int{},
 	}
 }
 
@@ -98,6 +102,9 @@
 		added.started = added.state != job.Queued
 	}
 	p.jobs[j.ID] = added
+	if added.isPending() {
+		p.pendingJobs[j.Queue]++
+	}
 	if progress == nil {
 		p.arrivedWork += j.Work()
 	}
@@ -166,14 +173,6 @@
 	p.addReady(s)
 }
 
-// addReady adds a step to ready if it has waiting tasks.
-func (p *Pool) addReady(s *stepRun) {
-	if s.waitingTasks > 0 && !s.inReady && !s.job.state.Final() {
-		s.inReady = true
-		p.ready = append(p.ready, s)
-	}
-}
-
 // requeue makes a task ready to start again.
 func (p *Pool) requeue(t *task, now clock.Millis) {
 	if t.state == waiting {
@@ -220,6 +219,9 @@
 
 // finish gives a job its final state and stops its running tasks.
 func (p *Pool) finish(j *Job, to job.State, cause string, now clock.Millis) {
+	if j.isPending() {
+		p.removePending(j)
+	}
 	j.state, j.cause = to, cause
 	j.progress.State = to
 	p.markDirty(j)
@@ -248,7 +250,7 @@
 	if !t.placed() || t.state == stopping {
 		return
 	}
-	delete(p.startingTasks, t)
+	p.clearStarting(t)
 	t.setState(stopping, now)
 	t.stopReason, t.stopSentAt, t.stopAccepted = reason, now, false
 	p.stoppingTasks[t] = true
@@ -265,7 +267,7 @@
 // unassign frees what a task occupies on its worker, if it has one.
 func (p *Pool) unassign(t *task) {
 	delete(p.stoppingTasks, t)
-	delete(p.startingTasks, t)
+	p.clearStarting(t)
 	if t.worker == nil {
 		return
 	}
@@ -290,7 +292,7 @@
 	}
 	t.setState(s, now)
 	if s == starting {
-		p.startingTasks[t] = true
+		p.setStarting(t)
 	}
 }
 
@@ -302,17 +304,6 @@
 // this pool.
 func (p *Pool) Allowance() map[fleet.TeamID]job.Resources { return p.allowanceByTeam }
 
-// StartsDeferred reports whether the last pass left out starts until pending starts have a response.
-func (p *Pool) StartsDeferred() bool { return p.startsDeferred }
-
-// startLimitReached reports whether MaxStarting permits no more starts. If so, it records that
-// starts are deferred.
-func (p *Pool) startLimitReached() bool {
-	full := p.MaxStarting > 0 && len(p.startingTasks) >= p.MaxStarting
-	p.startsDeferred = p.startsDeferred || full
-	return full
-}
-
 // Job returns a job, or nil if the pool does not have it.
 func (p *Pool) Job(id job.ID) *Job { return p.jobs[id] }
 
@@ -331,15 +322,22 @@
 	return free
 }
 
-// Pending returns, for each queue, the number of jobs of which no task has started.
-func (p *Pool) Pending() map[fleet.QueueID]int {
-	out := map[fleet.QueueID]int{}
-	for _, j := range p.jobs {
-		if !j.started && !j.state.Final() {
-			out[j.Queue]++
-		}
+// Pending returns the number of jobs of a queue of which no task has started.
+func (p *Pool) Pending(queue fleet.QueueID) int { return p.pendingJobs[queue] }
+
+// removePending records that a pending job is not pending any more.
+func (p *Pool) removePending(j *Job) {
+	if p.pendingJobs[j.Queue]--; p.pendingJobs[j.Queue] == 0 {
+		delete(p.pendingJobs, j.Queue)
 	}
-	return out
+}
+
+// markStarted records that a task of a job has started.
+func (p *Pool) markStarted(j *Job) {
+	if j.isPending() {
+		p.removePending(j)
+	}
+	j.started = true
 }
 
 // Change is progress of a job that is to be made durable.
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -93,7 +93,7 @@
 	blockedBy    int  // number of earlier steps that are not done
 	waitingTasks int  // number of tasks in state waiting
 	doneTasks    int  // number of tasks in state done
-	inReady      bool // in Pool.ready
+	inReady      bool // in the pool's ready list
 	advice       advice
 }
 
--- a/worker/lease.go
+++ b/worker/lease.go
@@ -15,6 +15,7 @@
 	requestedAt clock.Millis // local time at which that call was sent
 	until       clock.Millis // latest end of the lease that was ever sent, on the worker's clock
 	extendedAt  clock.Millis // local time of the newest extension
+	formerEnd   clock.Millis // see Config.FormerLeasesEnd
 }
 
 // formerOwnerSlack is how much later than LeaseLength from now a lease can end that the former owner
@@ -46,12 +47,12 @@
 	return l.until
 }
 
-// latestEnd returns the local time by which the lease has certainly expired, or 0 if no lease is
-// known. When the response arrived, the worker's clock had reached the time in it, and it runs at
+// latestEnd returns the local time by which the lease has certainly expired, or 0 if that is
+// unknown. When the response arrived, the worker's clock had reached the time in it, and it runs at
 // most DriftPercent slow.
 func (l *lease) latestEnd() clock.Millis {
-	if !l.clockKnown || l.until == 0 {
-		return 0
+	if !l.clockKnown {
+		return l.formerEnd
 	}
 	return l.receivedAt + MaxElapsed(l.until-l.workerClock)
 }
--- a/worker/session.go
+++ b/worker/session.go
@@ -32,7 +32,10 @@
 	// wait saves CPU time, but two polls have to fail before a worker counts as unreachable. 0
 	// means 500 ms.
 	PollWait clock.Millis
-	Log      *slog.Logger
+	// FormerLeasesEnd is the local time at which the leases that earlier sessions gave have expired
+	// if the worker never responds to this session. 0 means that it is unknown.
+	FormerLeasesEnd clock.Millis
+	Log             *slog.Logger
 
 	// Authorized reports whether orders may be sent and leases renewed.
 	Authorized func() bool
@@ -46,7 +49,8 @@
 	// Lost is called once, when it is certain that nothing runs on the incarnation any more.
 	Lost func(reason string)
 	// Expired is called when all leases that this session gave have expired. It reports whether
-	// the expiry was recorded; if not, it is called again.
+	// the expiry was recorded; if not, it is called again. Once it was recorded, the session sends
+	// no starts, and is to be replaced by another one.
 	Expired func() bool
 	// OnHigherFence is called when the worker refuses a call because it has accepted a higher fence.
 	OnHigherFence func()
@@ -65,6 +69,9 @@
 	reachable       bool
 	failedPolls     int  // failed polls in a row
 	expired         bool // Expired has recorded the expiry of the lease
+	startsBlocked   bool // Expired may have recorded it; see Order
+	listed          bool // a report has contained the running runs; the latest one was requested at listedAt
+	listedAt        clock.Millis
 }
 
 // pendingEnds says that the ended runs up to a number become durable with a change.
@@ -78,7 +85,7 @@
 	if c.PollWait == 0 {
 		c.PollWait = defaultPollWait
 	}
-	return &Session{Config: c}
+	return &Session{Config: c, lease: lease{formerEnd: c.FormerLeasesEnd}}
 }
 
 // Run polls the worker until ctx ends, the incarnation is lost, or the worker refuses the fence.
@@ -128,7 +135,7 @@
 	}
 	s.pollSucceeded(listing.Clock, requestedAt, now)
 	ends, newest := s.newEnds(listing.Ended)
-	change := s.Report(ctx, schedule.Report{RequestedAt: requestedAt, Running: listing.Running, Ended: ends})
+	change := s.Report(ctx, s.newReport(requestedAt, listing.Running, ends))
 	s.recordReported(newest, change)
 	if len(listing.Ended) > 0 && len(ends) == 0 {
 		sleep(ctx, retryDelay) // the worker lists them again, as they are not durable yet
@@ -172,15 +179,17 @@
 	s.reachable = wasReachable && s.failedPolls < unreachableAfter
 	becameUnreachable := wasReachable && !s.reachable
 	leaseEnd := s.lease.latestEnd()
-	expired := !s.expired && s.lease.clockKnown && now > leaseEnd
+	expired := !s.expired && leaseEnd != 0 && now > leaseEnd
+	s.startsBlocked = s.startsBlocked || expired
 	s.mu.Unlock()
 	if becameUnreachable {
 		s.Log.Warn("worker: polls get no response", "worker", s.Target.ID, "lease_ends_in_ms", int64(leaseEnd-now), "err", err)
 		s.Reachable(false)
 	}
-	if expired && s.Expired() {
+	if expired {
+		recorded := s.Expired()
 		s.mu.Lock()
-		s.expired = !s.reachable
+		s.expired, s.startsBlocked = recorded && !s.reachable, recorded
 		s.mu.Unlock()
 	}
 }
@@ -199,6 +208,23 @@
 	}
 }
 
+// listInterval is the shortest time between two reports that list the running runs besides ended
+// ones. A worker responds to a poll as soon as a run ends, and on a busy one the same running runs
+// would be processed many times a second.
+const listInterval clock.Millis = 400
+
+// newReport returns the report of a poll. It leaves the running runs out if runs have ended and the
+// running ones were reported within listInterval.
+func (s *Session) newReport(requestedAt clock.Millis, running []schedule.RunReport, ends []schedule.EndReport) schedule.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(ends) > 0 && s.listed && requestedAt-s.listedAt < listInterval {
+		return schedule.Report{RequestedAt: requestedAt, EndsOnly: true, Ended: ends}
+	}
+	s.listed, s.listedAt = true, requestedAt
+	return schedule.Report{RequestedAt: requestedAt, Running: running, Ended: ends}
+}
+
 // newEnds returns the ended runs that were not reported before, and the highest number reported
 // so far, with theirs.
 func (s *Session) newEnds(ended []EndedRun) ([]schedule.EndReport, int64) {
@@ -232,7 +258,8 @@
 }
 
 // Order sends an order of the schedule once and returns its outcome and the worker's result. The
-// result is 0 if the order was not sent or got no response.
+// result is 0 if the order was not sent or got no response. Starts that were given before the expiry
+// of all leases was recorded are not sent after it, since their tasks may start on other workers.
 func (s *Session) Order(ctx context.Context, o schedule.Order) (schedule.Outcome, Result) {
 	if !s.Authorized() {
 		return schedule.NotSent, 0
@@ -262,11 +289,12 @@
 		return s.Calls.Pace(ctx, s.Target, o.Task, o.Run, o.Percent, s.Fence)
 	}
 	s.mu.Lock()
+	if s.startsBlocked || !s.lease.clockKnown {
+		s.mu.Unlock()
+		return Answer{Result: LeaseTooOld}, nil
+	}
 	until := s.lease.extend(LeaseLength, now)
 	s.mu.Unlock()
-	if until == 0 {
-		return Answer{Result: LeaseTooOld}, nil // the worker's clock is not known yet
-	}
 	return s.Calls.Start(ctx, s.Target, StartOrder{
 		Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, LeaseUntil: until, Fence: s.Fence,
 	})
--- a/worker/session_test.go
+++ b/worker/session_test.go
@@ -5,12 +5,14 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"citronknot/clock"
 	"citronknot/schedule"
 	"citronknot/worker"
 )
@@ -22,6 +24,12 @@
 	lostPolls   int // number of next polls that get no response
 }
 
+func (w *fakeWorker) setUnreachable(unreachable bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unreachable = unreachable
+}
+
 func (w *fakeWorker) poll(ctx context.Context, _ worker.Target, _ worker.PollRequest) (worker.PollResponse, error) {
 	w.mu.Lock()
 	lost := w.lostPolls > 0
@@ -156,3 +164,96 @@
 		<-ended
 	})
 }
+
+// Guards against a start that was given before the expiry of all leases was recorded and is sent
+// after the worker responds again: its task may have started on another worker.
+func TestStartsAreNotSentAfterRecordedExpiry(t *testing.T) {
+	for _, recorded := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			fake := &fakeWorker{}
+			s := newSession(fake, make(chan time.Time, 100))
+			var expiries atomic.Int64
+			s.Expired = func() bool { expiries.Add(1); return recorded }
+			starts := 0
+			s.Calls.Start = func(context.Context, worker.Target, worker.StartOrder) (worker.Answer, error) {
+				starts++
+				return worker.Answer{Result: worker.Done, Clock: 1000}, nil
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := startSession(ctx, s)
+			time.Sleep(time.Second)
+			fake.setUnreachable(true)
+			time.Sleep(7 * time.Second)
+			must.Positive(t, expiries.Load())
+			fake.setUnreachable(false)
+			time.Sleep(time.Second)
+			outcome, _ := s.Order(ctx, schedule.Order{Kind: schedule.Start})
+			if recorded {
+				must.Eq(t, schedule.NotSent, outcome)
+				must.Eq(t, 0, starts)
+			} else {
+				must.Eq(t, schedule.Accepted, outcome)
+			}
+			cancel()
+			<-ended
+		})
+	}
+}
+
+// Guards against a worker that never responds to a new session and whose tasks therefore never start
+// elsewhere, and against tasks that do so while a lease of an earlier session may last.
+func TestLeasesOfEarlierSessionsExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := &fakeWorker{unreachable: true}
+		expired := make(chan time.Time, 1)
+		s := worker.NewSession(worker.Config{
+			Calls: worker.Calls{Poll: fake.poll}, Fence: 1, Log: slog.New(slog.DiscardHandler), FormerLeasesEnd: clock.Clock{}.Now() + 5000,
+			Authorized: func() bool { return true }, Reachable: func(bool) {},
+			Expired: func() bool { expired <- time.Now(); return true },
+		})
+		started := time.Now()
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := startSession(ctx, s)
+		at := <-expired
+		must.Between(t, 5*time.Second, at.Sub(started), 6*time.Second)
+		cancel()
+		<-ended
+	})
+}
+
+// Guards against the lists of running runs being processed many times a second on a worker on which
+// runs end one after another, and against an end that is left out.
+func TestBusyWorkerReportsEndsWithoutRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := int64(0)
+		var reports []schedule.Report
+		s := newSession(&fakeWorker{}, make(chan time.Time, 1))
+		s.Calls.Poll = func(_ context.Context, _ worker.Target, r worker.PollRequest) (worker.PollResponse, error) {
+			time.Sleep(50 * time.Millisecond)
+			ended++
+			return worker.PollResponse{
+				Answer: worker.Answer{Result: worker.Done, Clock: 1000}, Running: []schedule.RunReport{{Run: 1}},
+				Ended: []worker.EndedRun{{Number: ended, EndReport: schedule.EndReport{Run: int(ended)}}},
+			}, nil
+		}
+		s.Report = func(_ context.Context, r schedule.Report) uint64 {
+			reports = append(reports, r)
+			return 0
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := startSession(ctx, s)
+		time.Sleep(2 * time.Second)
+		cancel()
+		<-done
+		lists, ends := 0, 0
+		for _, r := range reports {
+			ends += len(r.Ended)
+			if !r.EndsOnly {
+				must.Len(t, 1, r.Running)
+				lists++
+			}
+		}
+		must.Eq(t, len(reports), ends)
+		must.Between(t, 4, lists, 6)
+	})
+}
