--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -28,6 +28,7 @@
 	results   []dispatcher.Results
 	silent    bool // requests get no response
 	loseNext  int  // number of next responses that are lost
+	repeat    int  // number of next responses that repeat the newest batch, received or not
 	ended     bool
 	durable   uint64
 	lastBatch *dispatcher.Batch
@@ -49,7 +50,10 @@
 	time.Sleep(20 * time.Millisecond)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.lastBatch != nil && r.Received >= o.lastBatch.Number {
+	switch {
+	case o.repeat > 0 && o.lastBatch != nil:
+		o.repeat--
+	case o.lastBatch != nil && r.Received >= o.lastBatch.Number:
 		o.lastBatch = nil
 	}
 	if o.lastBatch == nil && len(o.batches) > 0 {
@@ -206,12 +210,13 @@
 	})
 }
 
-// Guards against an order that is carried out twice because the response that contained it was lost.
+// Guards against an order that is carried out twice, or never, because a response that contained it,
+// or the request that confirmed it, was lost.
 func TestRepeatedBatchIsCarriedOutOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := startHarness(t)
 		h.owner.mu.Lock()
-		h.owner.loseNext = 2
+		h.owner.loseNext, h.owner.repeat = 2, 4
 		h.owner.mu.Unlock()
 		h.owner.queue(dispatcher.Batch{Orders: []dispatcher.Order{startOrder(0)}})
 		time.Sleep(time.Second)
--- a/owner/dispatch_test.go
+++ b/owner/dispatch_test.go
@@ -225,6 +225,25 @@
 	})
 }
 
+// Guards against older results that are applied again after newer ones, because their response was
+// lost and they were sent again.
+func TestResultsAreAppliedInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newDividedPool(t)
+		assigned := p.join("s1")
+		reachable := func() bool { return p.owner.Dump().Schedule.Workers[0].Reachable }
+		p.send(dispatcher.Event{Kind: dispatcher.Reachable, Assignment: assigned[0].ID}, dispatcher.Event{Kind: dispatcher.Reachable, Assignment: assigned[1].ID})
+		must.True(t, reachable())
+		p.send(dispatcher.Event{Kind: dispatcher.Unreachable, Assignment: assigned[0].ID}, dispatcher.Event{Kind: dispatcher.Unreachable, Assignment: assigned[1].ID})
+		must.False(t, reachable())
+		p.results -= 2
+		p.send(dispatcher.Event{Kind: dispatcher.Reachable, Assignment: assigned[0].ID}, dispatcher.Event{Kind: dispatcher.Reachable, Assignment: assigned[1].ID})
+		must.False(t, reachable())
+		p.owner.TakeResults(dispatcher.Results{Member: "m1", Session: "s1", Number: 99, Leaving: true})
+		_ = p.stop()
+	})
+}
+
 // Guards against grants that outlast the owner's own authority: another member may own the pool
 // then, and takes the authority of the former owner as over.
 func TestGrantsEndWithTheOwnersAuthority(t *testing.T) {
