Keep a part of each job's slack for delays after its first start

Cause: steps are served by their latest start. Change: steps of jobs that have not started and have used more than 60% of their slack come after those of the same class and priority that have more left. Result: TestOverloadedPoolMeetsObjectives (twice the capacity for 10 s, tasks run 10% longer than estimated): 16 jobs in time and 49 late without a reserve; more than five times as many in time as late with it.

--- a/schedule/backlog_test.go
+++ b/schedule/backlog_test.go
@@ -174,6 +174,47 @@
 	must.Eq(t, 1, h.pool.Pending("q"))
 }
 
+// Guards against a pool that is asked for twice what it can do and in which nearly every job misses
+// its objective, because those that are about to be late are always started first. Replayed is the
+// load of a day on which one queue asked for more than its pool held for eight seconds: in the worst two
+// of them, 28 of 587 jobs met their objective, and 177 ended late.
+func TestOverloadedPoolMeetsObjectives(t *testing.T) {
+	h := newHarness(t, 4) // 64 tasks of one second at a time
+	type end struct {
+		at    clock.Millis
+		order schedule.Order
+	}
+	var running []end
+	accepted := map[job.ID]clock.Millis{}
+	inTime, late := 0, 0
+	for n := 0; h.now < 10_000; n++ {
+		h.pool.Add(newJob(n, newStep(8)), testPolicy, nil, 0, h.now)
+		accepted[jobID(n)] = h.now
+		for range 6 { // a job of 8 tasks each 60 ms is about twice the capacity
+			for _, o := range h.acceptStarts(10) {
+				running = append(running, end{at: h.now + 1100, order: o}) // 100 ms longer than estimated
+			}
+			for len(running) > 0 && running[0].at <= h.now {
+				h.reportEnd(running[0].order, schedule.EndDone)
+				running = running[1:]
+			}
+			h.commitChanges()
+			for id, at := range accepted {
+				if h.pool.Job(id).State() != job.Complete {
+					continue
+				}
+				delete(accepted, id)
+				if h.now-at <= 1600+600 {
+					inTime++
+				} else {
+					late++
+				}
+			}
+		}
+	}
+	must.Greater(t, 5*late, inTime, must.Sprintf("%d in time, %d late", inTime, late))
+}
+
 // BenchmarkBacklog measures a pass of a full pool, and a start with its end, against the number of
 // waiting tasks.
 func BenchmarkBacklog(b *testing.B) {
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -50,6 +50,7 @@
 type rank struct {
 	class       int8
 	priority    int
+	tight       bool         // of a job that has not started: little of its slack is left
 	latestStart clock.Millis // latest start that still meets the objective
 }
 
@@ -83,10 +84,22 @@
 		r.class = classStarted
 	default:
 		r.class = classFeasible
+		r.tight = now > r.latestStart-j.reserve()
 	}
 	return r
 }
 
+// reservePercent is the part of a job's slack, in percent, that is kept for delays after its first
+// start. In an overloaded pool, the steps that are closest to their latest start would be served
+// first if none was kept: each of them would start when it is about to be late, and hardly any job
+// would meet its objective.
+const reservePercent = 40
+
+// reserve returns the part of the job's slack that is kept for delays after its first start.
+func (j *Job) reserve() clock.Millis {
+	return max(0, j.objective-j.acceptedAt-j.criticalPath) * reservePercent / 100
+}
+
 // lateMargin is the delay after which a step counts as late. Estimates are rough, and a job whose
 // step is classed as late too early loses its full value.
 const lateMargin clock.Millis = 150
--- a/schedule/ready.go
+++ b/schedule/ready.go
@@ -28,18 +28,30 @@
 	step  *stepRun
 }
 
-// compareRankedSteps orders steps by class, priority and latest start, then by time of
+// compareRankedSteps orders steps by class, priority, tightness and latest start, then by time of
 // acceptance and job id.
 func compareRankedSteps(a, b rankedStep) int {
 	return cmp.Or(
 		cmp.Compare(a.class, b.class),
 		cmp.Compare(a.priority, b.priority),
+		compareTight(a.tight, b.tight),
 		cmp.Compare(a.latestStart, b.latestStart),
 		cmp.Compare(a.step.job.acceptedAt, b.step.job.acceptedAt),
 		cmp.Compare(a.step.job.ID, b.step.job.ID),
 	)
 }
 
+// compareTight orders steps that are not tight before those that are.
+func compareTight(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
 // add adds a step that has waiting tasks.
 func (l *readyList) add(s *stepRun) {
 	l.steps = append(l.steps, s)
