--- a/hosted/harness_test.go
+++ b/hosted/harness_test.go
@@ -27,7 +27,7 @@
 // cluster is a small deployment on the loopback interface: members, workers of one pool, and test
 // servers in place of the platform's services.
 type cluster struct {
-	t                *testing.T
+	t                testing.TB
 	store            deployment.Store
 	machines         deployment.Machines
 	adviser          deployment.Adviser
@@ -52,7 +52,7 @@
 
 // newCluster starts the given numbers of members and of workers of one pool, and stops them when
 // the test ends.
-func newCluster(t *testing.T, members, workers int) *cluster {
+func newCluster(t testing.TB, members, workers int) *cluster {
 	c := &cluster{t: t}
 	c.machines.Downtime = 300 * time.Millisecond
 	for i, h := range []http.Handler{&c.machines, &c.adviser} {
@@ -145,7 +145,7 @@
 )
 
 // freeAddress returns a loopback address with a free port.
-func freeAddress(t *testing.T) netip.AddrPort {
+func freeAddress(t testing.TB) netip.AddrPort {
 	for range portCount {
 		port := firstPort + (uint32(os.Getpid())*64+nextPort.Add(1))%portCount
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
@@ -159,7 +159,7 @@
 }
 
 // firstOfTwoFreePorts returns the lower of two consecutive free ports.
-func firstOfTwoFreePorts(t *testing.T) uint16 {
+func firstOfTwoFreePorts(t testing.TB) uint16 {
 	for range portCount {
 		a, b := freeAddress(t).Port(), freeAddress(t).Port()
 		if b == a+1 {
