Clarify how a dispatcher's times are mapped; use knownKey

Cause: the comment on the mapping did not say why the difference of the clocks may only shrink, and the key of the known workers stood twice.

--- a/owner/dispatch.go
+++ b/owner/dispatch.go
@@ -58,9 +58,10 @@
 type pendingChange struct{ theirs, ours uint64 }
 
 // observeClock updates the difference between the clocks from a message that the dispatcher sent at
-// sentAt, on its clock. The difference that was seen includes the time that the message took, so the
-// smallest one is the best. Since it only shrinks, an earlier event is never placed before a later
-// one by a message that was fast.
+// sentAt, on its clock. Each difference that is seen includes the time that the message took, so the
+// smallest one is closest to the true one. It only shrinks: times in later messages are never shifted
+// further ahead than those in earlier ones, so a list of runs that is older than the outcome of an
+// order does not seem newer.
 func (d *dispatcherRecord) observeClock(sentAt, now clock.Millis) {
 	if !d.offsetKnown || now-sentAt < d.offset {
 		d.offset, d.offsetKnown = now-sentAt, true
--- a/owner/workers.go
+++ b/owner/workers.go
@@ -227,7 +227,7 @@
 	if err != nil {
 		return rowstore.Write{}, eris.Wrap(err, "owner: encode known workers")
 	}
-	return rowstore.Write{Ref: o.ref(workersTable, "known"), Value: value}, nil
+	return rowstore.Write{Ref: o.ref(workersTable, knownKey), Value: value}, nil
 }
 
 // decodeKnownWorkers decodes the row that knownWorkersRow writes.
