Wait for runs in the tests of divided pools

Cause: two tests slept before they crashed a member, so that on a busy machine the tasks might not have run yet. Change: they wait until all tasks run; the count of runs stands once.

--- a/hosted/dispatch_test.go
+++ b/hosted/dispatch_test.go
@@ -62,6 +62,15 @@
 	return nil
 }
 
+// countRuns returns the number of runs that the workers have begun.
+func (c *cluster) countRuns() int {
+	runs := 0
+	for _, w := range c.workers {
+		runs += len(w.Runs())
+	}
+	return runs
+}
+
 // checkJob submits a job of tasks of the given duration and waits until it is complete.
 func (c *cluster) checkJob(n, tasks, ms int, timeout time.Duration) {
 	c.t.Helper()
@@ -77,11 +86,7 @@
 	c := newDividedCluster(t, 3)
 	c.checkJob(1, 24, 300, 10*time.Second)
 	must.SliceEmpty(t, deployment.DuplicateRuns(c.workers))
-	runs := 0
-	for _, w := range c.workers {
-		runs += len(w.Runs())
-	}
-	must.Eq(t, 24, runs)
+	must.Eq(t, 24, c.countRuns())
 }
 
 // Guards against runs that end, or are started a second time, because the member that polled their
@@ -92,7 +97,7 @@
 	c := newDividedCluster(t, 3)
 	owner := c.waitForOwner()
 	c.submit(owner, jobID(1), jobBody(24, 5000))
-	time.Sleep(500 * time.Millisecond)
+	c.waitFor(5*time.Second, "all tasks run", func() bool { return c.countRuns() == 24 })
 	crashed := c.dispatchingMember()
 	crashed.Close()
 	crashed.stopped = true
@@ -118,11 +123,7 @@
 	c.waitComplete(c.waitForOwner(), jobID(1), 12*time.Second)
 	<-stopped
 	must.SliceEmpty(t, deployment.DuplicateRuns(c.workers))
-	runs := 0
-	for _, w := range c.workers {
-		runs += len(w.Runs())
-	}
-	must.Eq(t, 24, runs)
+	must.Eq(t, 24, c.countRuns())
 }
 
 // Guards against two members that call the same workers after their owner crashed: the dispatchers
@@ -132,7 +133,7 @@
 	c := newDividedCluster(t, 4)
 	former := c.waitForOwner()
 	c.submit(former, jobID(1), jobBody(24, 6000))
-	time.Sleep(300 * time.Millisecond)
+	c.waitFor(5*time.Second, "all tasks run", func() bool { return c.countRuns() == 24 })
 	former.Close()
 	former.stopped = true
 	c.waitDivided()
