Log each run that is lost with its worker, with the cause and the run's age

Change: events run_lost, and cause, machine and rack in worker_lost and worker_lapsed; citronknot_runs_lost_total by cause. The pool keeps when a run was ordered and when its worker stopped responding. No decision depends on them yet. Tests of schedule, owner, hosted and dispatcher pass.

--- a/owner/commit.go
+++ b/owner/commit.go
@@ -312,6 +312,12 @@
 	if e.Worker != "" {
 		args = append(args, "worker", e.Worker)
 	}
+	if e.Loss != nil {
+		args = append(args, lossArgs(&e)...)
+		if e.Kind == "run_lost" {
+			o.Metrics.RunsLost.WithLabelValues(e.Loss.Cause.String()).Inc()
+		}
+	}
 	if e.Detail != "" {
 		args = append(args, "detail", e.Detail)
 	}
@@ -321,6 +327,15 @@
 	o.Log.Info("owner: "+e.Kind, args...)
 }
 
+// lossArgs returns the attributes of the log line for a worker or a run that was lost.
+func lossArgs(e *schedule.Event) []any {
+	args := []any{"cause", e.Loss.Cause.String(), "unreachable_ms", int64(e.Loss.Unreachable), "runs_on_worker", e.Loss.Runs}
+	if e.Kind == "run_lost" {
+		return append(args, "age_ms", int64(e.Loss.Age), "newer_runs", e.Loss.Newer)
+	}
+	return append(args, "machine", e.Machine, "rack", e.Rack)
+}
+
 var (
 	errStopped   = errors.New("owner: stopped")
 	errNoAdviser = errors.New("owner: the queue requires an adviser, but none is configured")
--- a/owner/dispatch.go
+++ b/owner/dispatch.go
@@ -264,7 +264,7 @@
 		o.applyReport(d, s, e, now)
 	case dispatcher.Reachable, dispatcher.Unreachable:
 		s.reachable = e.Kind == dispatcher.Reachable
-		o.pool.SetReachable(s.worker, s.reachable && !d.suspected)
+		o.pool.SetReachable(s.worker, s.reachable && !d.suspected, e.At+d.offset)
 	case dispatcher.IncarnationLost:
 		o.loseIncarnation(s.worker, e.Detail, now)
 	case dispatcher.LeasesExpired:
@@ -350,7 +350,7 @@
 	}
 	d.suspected = false
 	for _, s := range d.sessions {
-		o.pool.SetReachable(s.worker, s.reachable)
+		o.pool.SetReachable(s.worker, s.reachable, 0)
 	}
 }
 
@@ -366,7 +366,7 @@
 			d.suspected = true
 			o.Log.Warn("owner: dispatcher is silent", "pool", o.Pool, "dispatcher", d.member, "workers", len(d.sessions), "silent_ms", int64(silent))
 			for _, s := range d.sessions {
-				o.pool.SetReachable(s.worker, false)
+				o.pool.SetReachable(s.worker, false, 0)
 			}
 		case d.emptySince != 0 && now-d.emptySince > idleLimit && o.dispatcherCapacity()-d.capacity >= o.workersToDispatch():
 			d.end("it has no workers")
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -7,6 +7,7 @@
 type Metrics struct {
 	Orders     *prometheus.CounterVec // orders to workers, by order kind and result
 	Events     *prometheus.CounterVec // events of pools, by kind
+	RunsLost   *prometheus.CounterVec // runs that were lost with their workers, by cause
 	OrderTime  prometheus.Histogram   // seconds until a worker responded to an order
 	PlanTime   prometheus.Histogram   // seconds of one scheduling pass
 	CommitTime prometheus.Histogram   // seconds until a commit was durable
@@ -24,6 +25,9 @@
 		Events: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "citronknot_pool_events_total", Help: "What the owners of pools came to believe, by kind.",
 		}, []string{"event"}),
+		RunsLost: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "citronknot_runs_lost_total", Help: "Runs that were lost with their workers, by cause: crash, expected or silent.",
+		}, []string{"cause"}),
 		OrderTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "citronknot_order_seconds", Help: "Time until a worker answered an order.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 11),
 		}),
@@ -44,5 +48,5 @@
 
 // Collectors returns all metrics for registration.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.Orders, m.Events, m.OrderTime, m.PlanTime, m.CommitTime, m.CommitRows, m.Dispatchers}
+	return []prometheus.Collector{m.Orders, m.Events, m.RunsLost, m.OrderTime, m.PlanTime, m.CommitTime, m.CommitRows, m.Dispatchers}
 }
--- a/owner/report.go
+++ b/owner/report.go
@@ -85,7 +85,7 @@
 	for _, id := range d.Ended {
 		if s := o.sessions[id]; s != nil {
 			o.endedIncarnations[id] = s.incarnation
-			o.removeWorker(id, "its machine was moved or taken down", now)
+			o.removeWorker(id, schedule.LossExpected, "its machine was moved or taken down", now)
 		}
 	}
 	slices.Sort(d.Cordon)
--- a/owner/workers.go
+++ b/owner/workers.go
@@ -52,7 +52,7 @@
 		recorded, known := o.knownWorkers[listed.ID]
 		if known && recorded.Incarnation != 0 && recorded.Incarnation != listed.Incarnation {
 			o.confirmWorker(listed.ID)
-			o.removeWorker(listed.ID, "a later incarnation is listed", now)
+			o.removeWorker(listed.ID, schedule.LossCrash, "a later incarnation is listed", now)
 		}
 		if recorded, ok := o.knownWorkers[listed.ID]; !ok || recorded.Incarnation != listed.Incarnation {
 			o.knownWorkers[listed.ID] = knownWorker{Incarnation: listed.Incarnation, Address: listed.Address}
@@ -108,8 +108,8 @@
 
 // removeWorker removes an incarnation on which nothing runs from the pool, ends its session and
 // deletes its record.
-func (o *Owner) removeWorker(id fleet.InstanceID, reason string, now clock.Millis) {
-	o.pool.RemoveWorker(id, reason, now)
+func (o *Owner) removeWorker(id fleet.InstanceID, cause schedule.LossCause, reason string, now clock.Millis) {
+	o.pool.RemoveWorker(id, cause, reason, now)
 	if s := o.sessions[id]; s != nil {
 		o.endSession(s)
 	}
@@ -121,7 +121,7 @@
 // loseIncarnation removes an incarnation of which a session has found that it has ended.
 func (o *Owner) loseIncarnation(id fleet.InstanceID, reason string, now clock.Millis) {
 	o.confirmWorker(id)
-	o.removeWorker(id, reason, now)
+	o.removeWorker(id, schedule.LossCrash, reason, now)
 }
 
 // handleExpiredLeases records that the leases given to a worker have expired, and reports whether
@@ -140,7 +140,7 @@
 func (o *Owner) expireLeases(s *session, now clock.Millis) {
 	o.pool.ExpireLeases(s.worker, now)
 	if _, listed := o.listedWorkers[s.worker]; !listed {
-		o.removeWorker(s.worker, "it is not listed and its leases have expired", now)
+		o.removeWorker(s.worker, schedule.LossSilent, "it is not listed and its leases have expired", now)
 		return
 	}
 	o.restartSession(s, now)
--- a/schedule/backlog_test.go
+++ b/schedule/backlog_test.go
@@ -87,7 +87,7 @@
 	for i := range 2 {
 		h.addWorker(workerID(i), 64000)
 		h.pool.SetDispatcher(workerID(i), fleet.MemberID(fmt.Sprint("m", i)))
-		h.pool.SetReachable(workerID(i), true)
+		h.pool.SetReachable(workerID(i), true, h.now)
 	}
 	h.pool.Add(newJob(1, newStep(40)), testPolicy, nil, 0, 0)
 	orders := h.planAfter(0)
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -38,7 +38,7 @@
 // addWorker adds a worker that is reachable and has responded to a poll.
 func (h *harness) addWorker(id fleet.InstanceID, cpu int64) {
 	h.pool.SetWorker(schedule.Worker{ID: id, Incarnation: 1, Rack: "r1-1", Capacity: job.Resources{CPU: cpu, Memory: 32768}}, h.now)
-	h.pool.SetReachable(id, true)
+	h.pool.SetReachable(id, true, h.now)
 	h.pool.Observe(id, schedule.Report{RequestedAt: h.now}, h.now)
 }
 
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -15,7 +15,7 @@
 func (p *Pool) SetWorker(d Worker, now clock.Millis) {
 	w := p.workers[d.ID]
 	if w != nil && w.Incarnation != d.Incarnation {
-		p.RemoveWorker(d.ID, "another incarnation", now)
+		p.RemoveWorker(d.ID, LossCrash, "another incarnation", now)
 		w = nil
 	}
 	if w == nil {
@@ -49,42 +49,53 @@
 }
 
 // RemoveWorker removes a worker. The caller guarantees that nothing runs on it any more. Only
-// RemoveWorker and [Pool.ExpireLeases] end runs without a response of their worker.
-func (p *Pool) RemoveWorker(id fleet.InstanceID, reason string, now clock.Millis) {
+// RemoveWorker and [Pool.ExpireLeases] end runs without a response of their worker. A worker that was
+// leaving has not crashed, whatever cause says.
+func (p *Pool) RemoveWorker(id fleet.InstanceID, cause LossCause, reason string, now clock.Millis) {
 	w := p.workers[id]
 	if w == nil {
 		return
 	}
+	if cause == LossCrash && (w.Draining || w.cordoned) {
+		cause = LossExpected
+	}
 	delete(p.workers, id)
 	p.sortedWorkers = slices.DeleteFunc(p.sortedWorkers, func(o *worker) bool { return o == w })
 	p.byFreeCPU.remove(w)
 	p.clearStarter(w)
 	p.countLeaving()
-	p.emit(Event{Kind: "worker_lost", Worker: id, Detail: reason})
-	p.endAllRuns(w, now)
+	p.emit(Event{Kind: "worker_lost", Worker: id, Detail: reason, Machine: w.Machine, Rack: w.Rack, Loss: w.loss(cause, now)})
+	p.endAllRuns(w, cause, now)
 }
 
 // ExpireLeases records that the leases of all runs on a worker have expired. The worker stays in
 // the pool.
 func (p *Pool) ExpireLeases(id fleet.InstanceID, now clock.Millis) {
 	if w := p.workers[id]; w != nil && len(w.tasks) > 0 {
-		p.emit(Event{Kind: "worker_lapsed", Worker: id})
-		p.endAllRuns(w, now)
+		p.emit(Event{Kind: "worker_lapsed", Worker: id, Machine: w.Machine, Rack: w.Rack, Loss: w.loss(LossSilent, now)})
+		p.endAllRuns(w, LossSilent, now)
 	}
 }
 
 // endAllRuns frees the tasks that occupy a worker and requeues or blocks them.
-func (p *Pool) endAllRuns(w *worker, now clock.Millis) {
+func (p *Pool) endAllRuns(w *worker, cause LossCause, now clock.Millis) {
+	for t := range w.tasks {
+		p.emit(Event{Kind: "run_lost", Task: t.ref(), Run: t.run, Worker: w.ID, Loss: w.runLoss(t, cause, now)})
+	}
 	for t := range w.tasks {
 		p.unassign(t)
 		p.requeueOrBlock(t, now)
 	}
 }
 
-// SetReachable records whether a worker responds to calls.
-func (p *Pool) SetReachable(id fleet.InstanceID, reachable bool) {
+// SetReachable records whether a worker responds to calls. since is when it began or stopped to, or
+// 0 if that is unknown.
+func (p *Pool) SetReachable(id fleet.InstanceID, reachable bool, since clock.Millis) {
 	if w := p.workers[id]; w != nil && w.reachable != reachable {
-		w.reachable = reachable
+		w.reachable, w.unreachableSince = reachable, since
+		if reachable {
+			w.unreachableSince = 0
+		}
 		kind := "worker_unreachable"
 		if reachable {
 			kind = "worker_reachable"
@@ -165,7 +176,7 @@
 // have ordered its stop just before.
 func (p *Pool) adopt(t *task, w *worker, r *RunReport, now clock.Millis) {
 	t.run = r.Run
-	t.mayBeStopping, t.adoptedAt = p.StopTime > 0, now
+	t.mayBeStopping, t.adoptedAt, t.orderedAt = p.StopTime > 0, now, 0
 	p.assign(t, w, running, now)
 	p.markStarted(t.step.job)
 	p.recordProgress(t, r, now)
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -115,4 +115,10 @@
 	Worker fleet.InstanceID
 	Run    int
 	Detail string
+
+	// Of a lost worker or run:
+
+	Machine string
+	Rack    fleet.RackID
+	Loss    *Loss
 }
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -179,7 +179,7 @@
 // start assigns a task to a worker and orders the start of a run.
 func (p *Pool) start(t *task, w *worker, run int, now clock.Millis) {
 	t.run = run
-	t.percent, t.mayBeStopping = 0, false
+	t.percent, t.mayBeStopping, t.orderedAt = 0, false, now
 	p.assign(t, w, starting, now)
 	p.orders = append(p.orders, Order{
 		Kind: Start, Worker: w.ID, Incarnation: w.Incarnation, Task: t.ref(), Run: run, Spec: t.step.job.Spec, Checkpoint: t.checkpoint,
--- a/schedule/pool_test.go
+++ b/schedule/pool_test.go
@@ -56,7 +56,7 @@
 	p := schedule.New(schedule.Config{Pool: "p", RunBase: 1000})
 	p.Add(newJob(1, newStep(2)), testPolicy, &job.Progress{}, 0, 0)
 	p.SetWorker(schedule.Worker{ID: "w0", Incarnation: 1, Capacity: job.Resources{CPU: 16000, Memory: 1000}}, 0)
-	p.SetReachable("w0", true)
+	p.SetReachable("w0", true, 0)
 	running := []schedule.RunReport{{Task: job.Ref{Job: jobID(1), Index: 1}, Run: 7}}
 	p.Observe("w0", schedule.Report{Running: running}, 0)
 	must.Len(t, 0, p.Plan(0, 0))
@@ -73,12 +73,12 @@
 	p := schedule.New(schedule.Config{Pool: "p", RunBase: 1000})
 	p.Add(newJob(1, newStep(1)), testPolicy, &job.Progress{}, 0, 0)
 	p.SetWorker(schedule.Worker{ID: "w0", Incarnation: 1, Capacity: job.Resources{CPU: 16000, Memory: 1000}}, 0)
-	p.SetReachable("w0", true)
+	p.SetReachable("w0", true, 0)
 	ref := job.Ref{Job: jobID(1)}
 	p.Observe("w0", schedule.Report{Ended: []schedule.EndReport{{Task: ref, Run: 1, Kind: schedule.EndFailed}}}, 0)
 	must.Len(t, 0, p.Plan(0, 0))
 	p.SetWorker(schedule.Worker{ID: "w1", Incarnation: 1, Capacity: job.Resources{CPU: 16000, Memory: 1000}}, 0)
-	p.SetReachable("w1", true)
+	p.SetReachable("w1", true, 0)
 	p.Observe("w1", schedule.Report{Running: []schedule.RunReport{{Task: ref, Run: 2}}}, 0)
 	p.FinishRecovery(0)
 	must.Len(t, 0, p.Plan(0, 0), must.Sprint("run 2 is still running"))
@@ -148,10 +148,10 @@
 		h.pool.Observe(o.Worker, schedule.Report{Running: []schedule.RunReport{{Task: o.Task, Run: o.Run, Percent: 100}}}, h.now)
 	}
 	h.addWorker("w9", 16000)
-	h.pool.SetReachable("w0", false)
+	h.pool.SetReachable("w0", false, h.now)
 	h.pool.Cordon([]fleet.InstanceID{"w1"}, h.now)
 	must.Len(t, 0, h.planAfter(10))
-	h.pool.SetReachable("w0", true)
+	h.pool.SetReachable("w0", true, h.now)
 	must.Len(t, 1, h.planAfter(10))
 }
 
--- a/schedule/rules_test.go
+++ b/schedule/rules_test.go
@@ -195,7 +195,7 @@
 					}
 				}
 				h.pool.SetWorker(schedule.Worker{ID: w, Incarnation: incarnations[w], Capacity: job.Resources{CPU: 16000, Memory: 32768}}, h.now)
-				h.pool.SetReachable(w, true)
+				h.pool.SetReachable(w, true, h.now)
 				h.pool.Observe(w, schedule.Report{RequestedAt: h.now}, h.now)
 			case 1:
 				h.pool.Cancel(jobID(rapid.IntRange(0, jobs-1).Draw(rt, "cancelled")), h.now)
@@ -219,7 +219,7 @@
 	for i := range 910 {
 		w := fleet.InstanceID(fmt.Sprintf("w%03d", i))
 		p.SetWorker(schedule.Worker{ID: w, Incarnation: 1, Capacity: job.Resources{CPU: 16000, Memory: 32768}}, 0)
-		p.SetReachable(w, true)
+		p.SetReachable(w, true, 0)
 		p.Observe(w, schedule.Report{}, 0)
 	}
 	allWorkers := newStep(9100)
@@ -257,7 +257,7 @@
 	for i := range workers {
 		w := fleet.InstanceID(fmt.Sprintf("w%03d", i))
 		p.SetWorker(schedule.Worker{ID: w, Incarnation: 1, Capacity: job.Resources{CPU: 16000, Memory: 32768}}, 0)
-		p.SetReachable(w, true)
+		p.SetReachable(w, true, 0)
 		p.Observe(w, schedule.Report{}, 0)
 	}
 	n := 0
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -33,6 +33,7 @@
 	orderedPace   int          // pace last ordered, in percent of full speed; 0 if none was ordered
 	orderedPaceAt clock.Millis
 	stateSince    clock.Millis // when state was entered
+	orderedAt     clock.Millis // when the newest run was ordered; 0 if an earlier owner ordered it
 	stopReason    StopReason
 	stopSentAt    clock.Millis
 	// stopAccepted is set when the worker has accepted the stop; the response was received at
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -29,6 +29,9 @@
 	tasks          map[*task]bool
 	responded      bool // has responded to a poll under this owner lease's fence
 	reachable      bool // responds to calls
+	// unreachableSince is when the worker stopped responding, or 0 if it responds or the time is
+	// unknown.
+	unreachableSince clock.Millis
 	cordoned       bool // takes no new tasks, as its machine is to move or to be maintained
 	cordonedAt     clock.Millis
 	fullUntil      clock.Millis   // no starts before this time, after a refusal for lack of capacity
--- a/schedule/worker_index_test.go
+++ b/schedule/worker_index_test.go
@@ -31,7 +31,7 @@
 					h.addWorker(w, free[w])
 				}
 			case "lose":
-				h.pool.RemoveWorker(w, "test", h.now)
+				h.pool.RemoveWorker(w, schedule.LossSilent, "test", h.now)
 				for _, o := range running[w] {
 					h.pool.Cancel(o.Task.Job, h.now)
 				}
