--- a/hosted/process_test.go
+++ b/hosted/process_test.go
@@ -259,3 +259,38 @@
 	c.waitComplete(c.otherMember(), "advised/"+jobID(1), 10*time.Second)
 	must.Len(t, 3, c.workers[1].Runs())
 }
+
+// Guards against crashes of workers under a task that are forgotten when the pool changes its owner,
+// so that the task crashes workers without end.
+func TestCrashesOfWorkersAreCountedAcrossOwners(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, 4)
+	for _, w := range c.workers {
+		w.Downtime = 600 * time.Millisecond
+	}
+	c.submit(c.members[0], jobID(1), `{"spec":"20 crash","steps":[{"count":1,"cpu":500,"memMb":100,"estMs":100}]}`)
+	c.waitFor(10*time.Second, "the task has crashed two workers", func() bool { return c.crashes() >= 2 })
+	owner := c.waitForOwner()
+	owner.Close()
+	owner.stopped = true
+	c.submit(c.otherMember(), jobID(2), jobBody(4, 100))
+	c.waitFor(30*time.Second, "job 1 is shown as failed", func() bool {
+		_, answer := c.call(c.otherMember(), http.MethodGet, jobID(1), "")
+		return answer["state"] == "failed" || c.crashes() > 5
+	})
+	must.LessEq(t, 5, c.crashes(), must.Sprint("a task under which three workers have crashed may crash two more"))
+	c.waitComplete(c.otherMember(), jobID(2), 10*time.Second)
+}
+
+// crashes returns the number of runs that were lost when their worker crashed.
+func (c *cluster) crashes() int {
+	n := 0
+	for _, w := range c.workers {
+		for _, r := range w.Runs() {
+			if r.EndReason == "lost" {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -32,14 +32,14 @@
 	// unreachableSince is when the worker stopped responding, or 0 if it responds or the time is
 	// unknown.
 	unreachableSince clock.Millis
-	cordoned       bool // takes no new tasks, as its machine is to move or to be maintained
-	cordonedAt     clock.Millis
-	fullUntil      clock.Millis   // no starts before this time, after a refusal for lack of capacity
-	recentFailures float64        // halved by each success
-	starter        *starter       // record of the member that sends the worker its orders
-	starterID      fleet.MemberID // id of that member; empty for the owner
-	avoidUntil     clock.Millis   // no starts before this time, after repeated failures
-	unlisted       bool           // its entry is gone or names another incarnation
+	cordoned         bool // takes no new tasks, as its machine is to move or to be maintained
+	cordonedAt       clock.Millis
+	fullUntil        clock.Millis   // no starts before this time, after a refusal for lack of capacity
+	recentFailures   float64        // halved by each success
+	starter          *starter       // record of the member that sends the worker its orders
+	starterID        fleet.MemberID // id of that member; empty for the owner
+	avoidUntil       clock.Millis   // no starts before this time, after repeated failures
+	unlisted         bool           // its entry is gone or names another incarnation
 }
 
 // Limits on starts after failures and refusals.
--- a/standin/deployment/worker.go
+++ b/standin/deployment/worker.go
@@ -23,8 +23,8 @@
 }
 
 // Worker simulates a worker. The spec of a task says how it runs: "200" is done after 200 ms,
-// "200 fail" fails after 200 ms, and "lasts" is long-running: it runs for an hour unless it is
-// stopped before.
+// "200 fail" fails after 200 ms, "200 crash" crashes the worker after 200 ms, and "lasts" is
+// long-running: it runs for an hour unless it is stopped before.
 type Worker struct {
 	ID       string
 	Pool     string
@@ -32,7 +32,8 @@
 	Machine  string
 	CPU      int64 // capacity, thousandths of a core
 	MemMB    int64
-	ClockLag float64 // fraction by which its clock runs slower than real time; 0.02 is 2%
+	ClockLag float64       // fraction by which its clock runs slower than real time; 0.02 is 2%
+	Downtime time.Duration // after which a worker that a task has crashed starts again; 0 means never
 	Store    *Store
 
 	mu              sync.Mutex
@@ -52,6 +53,7 @@
 	stopHeartbeat   chan struct{}
 	runs            []*Run
 	orderDelay      time.Duration // orders get no response and are carried out this much later
+	crashed         bool          // Crash was called since the last start
 }
 
 // activeRun is a run in progress.
@@ -89,6 +91,7 @@
 	w.fence, w.leaseEndMs, w.lastEndNumber, w.registrationSeq = 0, 0, 0, 0
 	w.active, w.highestRun, w.ended = map[string]*activeRun{}, map[string]int{}, nil
 	w.changed, w.stopHeartbeat = make(chan struct{}), make(chan struct{})
+	w.crashed = false
 	w.server = &http.Server{Handler: w}
 	server, stop := w.server, w.stopHeartbeat
 	w.mu.Unlock()
@@ -97,10 +100,15 @@
 	return nil
 }
 
-// Crash ends the worker and its runs at once, without reporting them.
+// Crash ends the worker and its runs at once, without reporting them. It does nothing if the worker
+// has crashed and not started again.
 func (w *Worker) Crash() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.crashed {
+		return
+	}
+	w.crashed = true
 	for _, e := range w.active {
 		e.timer.Stop()
 		w.recordEnd(e, "lost")
@@ -110,6 +118,21 @@
 	_ = w.server.Close()
 }
 
+// crashAndRestart crashes the worker if a run is still in progress, and starts it again after
+// Downtime.
+func (w *Worker) crashAndRestart(e *activeRun) {
+	w.mu.Lock()
+	current := w.active[e.task] == e
+	w.mu.Unlock()
+	if !current {
+		return
+	}
+	w.Crash()
+	if w.Downtime > 0 {
+		time.AfterFunc(w.Downtime, func() { _ = w.Start() })
+	}
+}
+
 // SetDisconnected sets whether the worker is disconnected: requests then get no response, and it writes
 // no registration. Its runs continue until the lease expires.
 func (w *Worker) SetDisconnected(disconnected bool) {
@@ -321,6 +344,10 @@
 		wait = time.Hour
 	}
 	e.timer = time.AfterFunc(wait, func() {
+		if outcome == "crash" {
+			w.crashAndRestart(e)
+			return
+		}
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.clockMs() > w.leaseEndMs {
