Give up tasks that crash the workers that start them

Cause: a run that was lost with its worker counted against nothing (a retry without a budget), and the tasks of a lost worker were queued again at once and packed on one worker.

Ruled out: bad machines, many starts at once, acts of the system.

A crash counts against the tasks that were lost in it, by the age of their runs, in the jobs' progress. A task that was lost just after its start starts on a worker with few others; one that was lost again starts alone, in a trial that is durable before the start is ordered; two crashes at the start of runs that were alone fail its job. Losses of workers that drained, were cordoned or moved do not count; those of silent workers count when another incarnation shows that they had crashed. A job has one trial at a time; trials can take down a third of a pool.

Why it works: crashes of other causes hit tasks that run beside others as often as they like; they hit one task alone on its worker, within a second of its start, on two machines that had not crashed before, hardly ever. What is stored before the start does not depend on the owner's life. A deadly task crashes four workers, five if the first crash was not recorded; the rule permits five.

--- a/job/codec.go
+++ b/job/codec.go
@@ -56,6 +56,27 @@
 	Finished int64            `json:"finished_ms,omitempty"`
 	Done     []string         `json:"done,omitempty"`     // OCCURRENCE.STEP.FIRST-LAST
 	Failures map[string][]int `json:"failures,omitempty"` // run numbers by OCCURRENCE.STEP.INDEX
+
+	Cause   string                 `json:"cause,omitempty"`   // of a final state
+	Crashes map[string][]wireCrash `json:"crashes,omitempty"` // by OCCURRENCE.STEP.INDEX, like Trials
+	Trials  map[string]wireTrial   `json:"trials,omitempty"`
+}
+
+// wireCrash is a crash of a worker under a task.
+type wireCrash struct {
+	Run     int    `json:"run"`
+	Worker  string `json:"worker"`
+	Machine string `json:"machine,omitempty"`
+	Age     int64  `json:"age_ms"`
+	Alone   bool   `json:"alone,omitempty"`
+}
+
+// wireTrial is the start of a task under which workers have crashed.
+type wireTrial struct {
+	Run         int    `json:"run"`
+	Worker      string `json:"worker"`
+	Incarnation int64  `json:"born_ms"`
+	Alone       bool   `json:"alone,omitempty"`
 }
 
 // Encode returns j in the JSON form in which it is stored and sent between members.
@@ -135,22 +156,69 @@
 }
 
 // Encode returns p in the JSON form in which it is stored. Done tasks are stored as ranges of
-// indexes. For a job in a final state only the state and its time are stored.
+// indexes. For a job in a final state only the state, its cause and its time are stored.
 func (p *Progress) Encode() ([]byte, error) {
-	w := wireProgress{State: string(p.State), Finished: int64(p.Finished)}
+	w := wireProgress{State: string(p.State), Finished: int64(p.Finished), Cause: p.Cause}
 	if !p.State.Final() {
 		w.Done = encodeDone(p.Done)
-		for at, runs := range p.Failures {
-			if w.Failures == nil {
-				w.Failures = map[string][]int{}
-			}
-			w.Failures[fmt.Sprintf("%d.%d.%d", at.Occurrence, at.Step, at.Index)] = runs
-		}
+		w.Failures = encodeByPosition(p.Failures, func(runs []int) []int { return runs })
+		w.Crashes = encodeByPosition(p.Crashes, encodeCrashes)
+		w.Trials = encodeByPosition(p.Trials, encodeTrial)
 	}
 	text, err := json.Marshal(w)
 	return text, eris.Wrap(err, "job: encode progress")
 }
 
+// encodeByPosition converts a map of what is known of tasks to the stored form. It returns nil for an
+// empty map, so that the field is omitted.
+func encodeByPosition[V, W any](values map[Position]V, encode func(V) W) map[string]W {
+	if len(values) == 0 {
+		return nil
+	}
+	out := make(map[string]W, len(values))
+	for at, v := range values {
+		out[fmt.Sprintf("%d.%d.%d", at.Occurrence, at.Step, at.Index)] = encode(v)
+	}
+	return out
+}
+
+// decodeByPosition is the inverse of encodeByPosition.
+func decodeByPosition[V, W any](values map[string]W, decode func(W) V) (map[Position]V, error) {
+	out := make(map[Position]V, len(values))
+	for text, v := range values {
+		at, err := decodePosition(text)
+		if err != nil {
+			return nil, err
+		}
+		out[at] = decode(v)
+	}
+	return out, nil
+}
+
+func encodeCrashes(crashes []Crash) []wireCrash {
+	out := make([]wireCrash, 0, len(crashes))
+	for _, c := range crashes {
+		out = append(out, wireCrash{Run: c.Run, Worker: string(c.Worker), Machine: c.Machine, Age: int64(c.Age), Alone: c.Alone})
+	}
+	return out
+}
+
+func decodeCrashes(crashes []wireCrash) []Crash {
+	out := make([]Crash, 0, len(crashes))
+	for _, c := range crashes {
+		out = append(out, Crash{Run: c.Run, Worker: fleet.InstanceID(c.Worker), Machine: c.Machine, Age: clock.Millis(c.Age), Alone: c.Alone})
+	}
+	return out
+}
+
+func encodeTrial(t Trial) wireTrial {
+	return wireTrial{Run: t.Run, Worker: string(t.Worker), Incarnation: int64(t.Incarnation), Alone: t.Alone}
+}
+
+func decodeTrial(t wireTrial) Trial {
+	return Trial{Run: t.Run, Worker: fleet.InstanceID(t.Worker), Incarnation: clock.Millis(t.Incarnation), Alone: t.Alone}
+}
+
 func encodeDone(done map[Position]bool) []string {
 	all := make([]Position, 0, len(done))
 	for at := range done {
@@ -186,7 +254,7 @@
 	if err := json.Unmarshal(text, &w); err != nil {
 		return nil, eris.Wrap(err, "job: decode progress")
 	}
-	p := &Progress{State: State(w.State), Finished: clock.Millis(w.Finished), Done: map[Position]bool{}, Failures: map[Position][]int{}}
+	p := &Progress{State: State(w.State), Cause: w.Cause, Finished: clock.Millis(w.Finished), Done: map[Position]bool{}}
 	for _, doneRange := range w.Done {
 		head, last, ok := strings.Cut(doneRange, "-")
 		at, err := decodePosition(head)
@@ -198,12 +266,15 @@
 			p.Done[at] = true
 		}
 	}
-	for text, runs := range w.Failures {
-		at, err := decodePosition(text)
-		if err != nil {
-			return nil, err
-		}
-		p.Failures[at] = runs
+	var err error
+	if p.Failures, err = decodeByPosition(w.Failures, func(runs []int) []int { return runs }); err != nil {
+		return nil, err
+	}
+	if p.Crashes, err = decodeByPosition(w.Crashes, decodeCrashes); err != nil {
+		return nil, err
+	}
+	if p.Trials, err = decodeByPosition(w.Trials, decodeTrial); err != nil {
+		return nil, err
 	}
 	return p, nil
 }
--- a/job/progress.go
+++ b/job/progress.go
@@ -31,13 +31,17 @@
 
 // Progress is the durable progress of a job. It contains each ended run that has been acknowledged
 // to a worker, which the worker may then forget: a task must never start again once its successful
-// run was acknowledged, and each acknowledged failure counts against the attempts. The zero value
-// is the progress of a new job.
+// run was acknowledged, and each acknowledged failure counts against the attempts. It also
+// contains the crashes of workers that count against tasks. A gang counts as a whole, at the position
+// of its first task, in all fields but Done. The zero value is the progress of a new job.
 type Progress struct {
 	State    State
+	Cause    string       // why a final state was reached
 	Finished clock.Millis // wall time at which a final state was reached
 	Done     map[Position]bool
 	Failures map[Position][]int // numbers of the runs that failed
+	Crashes  map[Position][]Crash
+	Trials   map[Position]Trial
 }
 
 // MarkDone records that a task is done.
@@ -63,9 +67,15 @@
 
 // Clone returns a deep copy of p.
 func (p *Progress) Clone() Progress {
-	c := Progress{State: p.State, Finished: p.Finished, Done: maps.Clone(p.Done), Failures: maps.Clone(p.Failures)}
+	c := Progress{
+		State: p.State, Cause: p.Cause, Finished: p.Finished, Done: maps.Clone(p.Done), Failures: maps.Clone(p.Failures),
+		Crashes: maps.Clone(p.Crashes), Trials: maps.Clone(p.Trials),
+	}
 	for at, runs := range c.Failures {
 		c.Failures[at] = slices.Clone(runs)
 	}
+	for at, crashes := range c.Crashes {
+		c.Crashes[at] = slices.Clone(crashes)
+	}
 	return c
 }
--- a/schedule/crash_test.go
+++ b/schedule/crash_test.go
@@ -31,6 +31,7 @@
 	durable    map[job.ID]job.Progress // last durable progress
 	jobs       []*job.Job
 	starts     map[job.Ref]int // starts that crashed their workers
+	mostDown   int             // workers that were down at once because of a third or later start
 	lost       map[job.Ref]int // runs lost with their workers
 }
 
@@ -44,6 +45,7 @@
 	crashAt     clock.Millis // 0 if no crash is due
 	unseenAt    clock.Millis // when the pool learns of the crash; 0 if it has
 	restartAt   clock.Millis // 0 while the worker is up
+	repeated    bool         // the last crash was the third or a later one of a deadly task
 }
 
 // simulatedRun is a run on a simulatedWorker.
@@ -111,12 +113,33 @@
 	if w.restartAt != 0 {
 		return
 	}
+	w.repeated = false
 	for ref := range w.runs {
 		s.lost[ref]++
+		w.repeated = w.repeated || s.starts[ref] >= 3
+		if s.spec(ref).Gang {
+			s.breakGang(ref, w)
+		}
 	}
 	w.runs, w.crashAt, w.unseenAt, w.restartAt = map[job.Ref]*simulatedRun{}, 0, s.now+s.silent, s.now+workerDowntime
 }
 
+// breakGang ends the runs of a gang on other workers than the one that crashed.
+func (s *crashSimulation) breakGang(lost job.Ref, crashed *simulatedWorker) {
+	for _, w := range s.workers {
+		report := schedule.Report{RequestedAt: s.now, EndsOnly: true}
+		for ref, r := range w.runs {
+			if w != crashed && ref.StepName() == lost.StepName() {
+				delete(w.runs, ref)
+				report.Ended = append(report.Ended, schedule.EndReport{Task: ref, Run: r.run, Kind: schedule.EndGangBroken})
+			}
+		}
+		if len(report.Ended) > 0 {
+			s.pool.Observe(w.id, report, s.now)
+		}
+	}
+}
+
 // run advances the simulation by d, in steps of 5 ms.
 func (s *crashSimulation) run(d clock.Millis) {
 	for end := s.now + d; s.now < end; {
@@ -124,6 +147,7 @@
 		for _, w := range s.workers {
 			s.advance(w)
 		}
+		s.countDown()
 		for _, o := range s.pool.Plan(s.now, s.now) {
 			s.carryOut(&o)
 		}
@@ -131,6 +155,17 @@
 	}
 }
 
+// countDown updates mostDown.
+func (s *crashSimulation) countDown() {
+	down := 0
+	for _, w := range s.workers {
+		if w.restartAt != 0 && w.repeated {
+			down++
+		}
+	}
+	s.mostDown = max(s.mostDown, down)
+}
+
 // advance lets a worker crash, restart and report the ends of its runs.
 func (s *crashSimulation) advance(w *simulatedWorker) {
 	if w.crashAt != 0 && s.now >= w.crashAt {
@@ -216,10 +251,10 @@
 		s.pool.Add(j, testPolicy, &progress, 0, s.now)
 	}
 	for _, w := range s.workers {
+		s.show(w) // the former owner has stored which workers it used
 		if w.restartAt != 0 {
-			continue // it is shown when it restarts
+			continue
 		}
-		s.show(w)
 		s.pool.SetReachable(w.id, true, s.now)
 		report := schedule.Report{RequestedAt: s.now}
 		for ref, r := range w.runs {
@@ -290,3 +325,271 @@
 	s.checkDeadlyJobs()
 	s.checkOtherJobs()
 }
+
+// Guards against jobs that are given up because their tasks were lost beside one that crashes workers,
+// or because of crashes of other causes: workers of eight crash at random, a third of them each two
+// seconds, while one deadly task is among the jobs.
+func TestCrashesOfOtherCausesFailNoJob(t *testing.T) {
+	for seed := range uint64(40) {
+		s := newCrashSimulation(t, 8)
+		s.rand = rand.New(rand.NewPCG(seed, 7))
+		s.deadly[s.ref(s.add(4), 2)] = true
+		for step := range 60 {
+			s.add(1 + s.rand.IntN(8))
+			s.run(clock.Millis(100 + s.rand.IntN(600)))
+			if step%5 == 0 {
+				for _, w := range s.workers {
+					if s.rand.IntN(3) == 0 {
+						s.crash(w)
+					}
+				}
+			}
+		}
+		s.run(30_000)
+		s.checkDeadlyJobs()
+		s.checkOtherJobs()
+	}
+}
+
+// Guards against a failure that is blamed on tasks when all power is lost, again and again, or racks
+// are lost under the same tasks.
+func TestLossOfAllWorkersFailsNoJob(t *testing.T) {
+	s := newCrashSimulation(t, 8)
+	s.runTime = 4000
+	for range 8 {
+		s.add(8)
+	}
+	for range 6 {
+		s.run(5000)
+		for _, w := range s.workers {
+			s.crash(w)
+		}
+	}
+	s.run(40_000)
+	s.checkOtherJobs()
+}
+
+// Guards against a pool that a class of tasks takes down: every third job has a task that crashes its
+// worker. Suspected tasks may not take down more than a third of the workers at once.
+func TestManyDeadlyTasksLeaveWorkersToOthers(t *testing.T) {
+	s := newCrashSimulation(t, 24)
+	for n := range 45 {
+		job := s.add(6)
+		if n%3 == 0 {
+			s.deadly[s.ref(job, n%6)] = true
+		}
+		s.run(200)
+	}
+	s.run(60_000)
+	must.LessEq(t, 8, s.mostDown)
+	s.checkDeadlyJobs()
+	s.checkOtherJobs()
+}
+
+// Guards against a deadly task that is not found because its worker is silent for long before it
+// counts as unreachable, or because the crash comes later than the start.
+func TestLateAndSilentCrashesAreBlamed(t *testing.T) {
+	for _, c := range []struct{ delay, silent clock.Millis }{{10, 750}, {1, 1}, {140, 3}, {240, 3}, {600, 300}, {700, 3}} {
+		s := newCrashSimulation(t, 8)
+		s.crashDelay, s.silent = c.delay, c.silent
+		s.deadly[s.ref(s.add(4), 1)] = true
+		for range 40 {
+			s.add(5)
+			s.run(400)
+		}
+		s.run(30_000)
+		s.checkDeadlyJobs()
+		s.checkOtherJobs()
+	}
+}
+
+// Guards against a gang that crashes workers without end, and against blame on a gang beside it.
+func TestGangThatCrashesWorkersIsGivenUp(t *testing.T) {
+	s := newCrashSimulation(t, 8)
+	gang := newStep(12)
+	gang.Gang, gang.Needs.CPU = true, 8000
+	deadly := s.addSteps(gang)
+	s.deadly[s.ref(deadly, 7)] = true
+	other := s.addSteps(gang)
+	for range 30 {
+		s.add(3)
+		s.run(500)
+	}
+	s.run(30_000)
+	s.checkDeadlyJobs()
+	must.Eq(t, job.Complete, s.pool.Job(jobID(other)).State())
+	s.checkOtherJobs()
+}
+
+// Guards against a long-running task that crashes workers without end, and against the loss of the
+// long-running tasks of others.
+func TestLongRunningTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	s := newCrashSimulation(t, 6)
+	lasting := newStep(5)
+	lasting.LongRunning = true
+	deadly, other := s.addSteps(lasting), s.addSteps(lasting)
+	s.deadly[s.ref(deadly, 3)] = true
+	s.run(60_000)
+	s.checkDeadlyJobs()
+	must.Eq(t, job.Running, s.pool.Job(jobID(other)).State())
+}
+
+// suspectedTasks returns the number of events that count a crash against a suspected task.
+func (h *harness) suspectedTasks() int {
+	n := 0
+	for _, e := range h.events {
+		if e.Kind == "task_suspected" {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against blame on tasks for workers that were drained, moved or maintained under them, or that
+// were cut off and respond again.
+func TestExpectedLossesCountAgainstNoTask(t *testing.T) {
+	next := clock.Millis(1)
+	restart := func(h *harness) {
+		next++
+		h.pool.SetWorker(schedule.Worker{ID: "w0", Incarnation: next, Machine: "m0", Capacity: job.Resources{CPU: 16000, Memory: 32768}}, h.now)
+		h.pool.SetReachable("w0", true, h.now)
+		h.pool.Observe("w0", schedule.Report{RequestedAt: h.now}, h.now)
+	}
+	for _, c := range []struct {
+		name     string
+		suspects int
+		lose     func(h *harness)
+	}{
+		{"a crash", 1, func(*harness) {}},
+		{"the worker was draining", 0, func(h *harness) {
+			h.pool.SetWorker(schedule.Worker{ID: "w0", Incarnation: next, Machine: "m0", Capacity: job.Resources{CPU: 16000, Memory: 32768}, Draining: true}, h.now)
+		}},
+		{"its machine was to move", 0, func(h *harness) { h.pool.Cordon([]fleet.InstanceID{"w0"}, h.now) }},
+		{"its machine was moved", 0, func(h *harness) { h.pool.RemoveWorker("w0", schedule.LossExpected, "moved", h.now) }},
+		{"it was silent and responds again", 0, func(h *harness) {
+			h.pool.ExpireLeases("w0", h.now)
+			h.pool.SetReachable("w0", true, h.now)
+		}},
+		{"it was silent and had crashed", 1, func(h *harness) { h.pool.ExpireLeases("w0", h.now) }},
+		{"it was silent, is gone, and its machine has another worker", 1, func(h *harness) {
+			h.pool.ExpireLeases("w0", h.now)
+			h.pool.RemoveWorker("w0", schedule.LossSilent, "not listed", h.now)
+			h.pool.SetWorker(schedule.Worker{ID: "w9", Incarnation: next + 1, Machine: "m0"}, h.now)
+		}},
+	} {
+		h := newHarness(t, 0)
+		h.now = 1000
+		restart(h)
+		h.pool.Add(newJob(1, newStep(1)), testPolicy, nil, 0, h.now)
+		must.Len(t, 1, h.acceptStarts(0))
+		h.now += 20
+		h.pool.SetReachable("w0", false, h.now)
+		h.now += 5000
+		c.lose(h)
+		restart(h)
+		must.Eq(t, c.suspects, h.suspectedTasks(), must.Sprint(c.name))
+	}
+}
+
+// Guards against the start of a suspected task that no other owner knows of: if the owner were lost
+// together with the worker, the crash would not count.
+func TestTrialIsDurableBeforeItsStart(t *testing.T) {
+	s := newCrashSimulation(t, 4)
+	s.commitTime = 700
+	ref := s.ref(s.add(1), 0)
+	s.deadly[ref] = true
+	s.run(5000)
+	must.Eq(t, 2, s.starts[ref])
+	for s.starts[ref] < 3 {
+		s.run(5)
+		if len(s.durable[ref.Job].Trials) == 0 {
+			must.Eq(t, 2, s.starts[ref], must.Sprint("the third start was ordered before its trial was durable"))
+		}
+	}
+	must.True(t, s.durable[ref.Job].Trials[job.Position{}].Alone)
+}
+
+// untilRecording runs the simulation until the trial of a task is being recorded, and holds it there.
+func (s *crashSimulation) untilRecording(ref job.Ref) {
+	s.commitTime = 15
+	for s.starts[ref] < 2 {
+		s.run(5)
+	}
+	s.run(workerDowntime - 200)
+	s.commitTime = 1 << 40
+	s.run(1000)
+	must.Eq(s.t, 2, s.starts[ref])
+}
+
+// Guards against capacity that stays taken after a trial that was not started: the job is cancelled, an
+// earlier run turns out to be done, or the worker is to be drained.
+func TestWithdrawnTrialsFreeTheirWorkers(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		withdraw func(s *crashSimulation, ref job.Ref)
+	}{
+		{"cancelled", func(s *crashSimulation, ref job.Ref) { s.pool.Cancel(ref.Job, s.now) }},
+		{"done", func(s *crashSimulation, ref job.Ref) {
+			s.pool.Observe("w0", schedule.Report{EndsOnly: true, Ended: []schedule.EndReport{{Task: ref, Run: 1, Kind: schedule.EndDone}}}, s.now)
+		}},
+		{"drained", func(s *crashSimulation, ref job.Ref) { s.pool.Cordon([]fleet.InstanceID{"w0"}, s.now) }},
+	} {
+		s := newCrashSimulation(t, 1)
+		ref := s.ref(s.add(1), 0)
+		s.deadly[ref] = true
+		s.untilRecording(ref)
+		c.withdraw(s, ref)
+		s.pool.Plan(s.now, s.now)
+		s.pool.Cordon(nil, s.now)
+		for _, change := range s.changes {
+			s.pool.Committed(change)
+		}
+		s.pool.Cancel(ref.Job, s.now)
+		wide := newStep(1)
+		wide.Needs.CPU = 64000
+		other := s.addSteps(wide)
+		s.commitAt, s.commitTime = 0, 15
+		s.run(5000)
+		must.Eq(t, 2, s.starts[ref], must.Sprint(c.name))
+		must.Eq(t, job.Complete, s.pool.Job(jobID(other)).State(), must.Sprint(c.name))
+	}
+}
+
+// Guards against a record of crashes that grows over weeks against a long-running task that works.
+func TestCrashesAreForgottenByWorkingTasks(t *testing.T) {
+	s := newCrashSimulation(t, 4)
+	lasting := newStep(1)
+	lasting.LongRunning = true
+	ref := s.ref(s.addSteps(lasting), 0)
+	s.run(100)
+	for _, w := range s.workers {
+		s.crash(w)
+	}
+	s.run(10_000)
+	must.MapLen(t, 1, s.durable[ref.Job].Crashes)
+	s.run(90_000)
+	must.MapEmpty(t, s.durable[ref.Job].Crashes)
+}
+
+// Guards against blame on a task for a crash of a run that was started just before it on the same
+// worker: a trial waits until the other runs on its worker have gone on for two seconds.
+func TestTrialWaitsUntilOtherRunsHaveSettled(t *testing.T) {
+	s := newCrashSimulation(t, 2)
+	s.pool.Cordon([]fleet.InstanceID{"w1"}, s.now)
+	ref := s.ref(s.add(1), 0)
+	s.deadly[ref] = true
+	for s.starts[ref] < 2 {
+		s.run(5)
+	}
+	s.run(workerDowntime - 500)
+	s.pool.Cordon(nil, s.now)
+	s.workers[0].cpu = 0 // the task does not fit there any more
+	s.runTime = 5000
+	s.add(1)
+	s.run(20)
+	must.MapLen(t, 1, s.workers[1].runs)
+	s.run(1900)
+	must.Eq(t, 2, s.starts[ref], must.Sprint("the other run is younger than two seconds"))
+	s.run(300)
+	must.Eq(t, 3, s.starts[ref])
+}
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -31,6 +31,7 @@
 	objective            clock.Millis // latest end at which the job still has its full value, on the owner's clock
 	criticalPath         clock.Millis // sum of the estimates on the longest path through the steps
 	dirty                bool
+	trials               int    // in progress, of its tasks
 	cause                string // of a final state
 }
 
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -19,6 +19,7 @@
 		w = nil
 	}
 	if w == nil {
+		p.resolveDoubtsAbout(&d, now)
 		w = &worker{Worker: Worker{ID: d.ID}, tasks: map[*task]bool{}, index: &p.byFreeCPU}
 		p.workers[d.ID] = w
 		i, _ := slices.BinarySearchFunc(p.sortedWorkers, d.ID, func(o *worker, id fleet.InstanceID) int { return cmp.Compare(o.ID, id) })
@@ -65,6 +66,10 @@
 	p.clearStarter(w)
 	p.countLeaving()
 	p.emit(Event{Kind: "worker_lost", Worker: id, Detail: reason, Machine: w.Machine, Rack: w.Rack, Loss: w.loss(cause, now)})
+	if cause != LossSilent { // a silent worker's former doubt goes on
+		p.resolveDoubt(id, cause == LossCrash, now)
+		p.resolveTrials(w, cause == LossCrash, now)
+	}
 	p.endAllRuns(w, cause, now)
 }
 
@@ -79,13 +84,26 @@
 
 // endAllRuns frees the tasks that occupy a worker and requeues or blocks them.
 func (p *Pool) endAllRuns(w *worker, cause LossCause, now clock.Millis) {
-	for t := range w.tasks {
-		p.emit(Event{Kind: "run_lost", Task: t.ref(), Run: t.run, Worker: w.ID, Loss: w.runLoss(t, cause, now)})
+	lost := w.lostRuns(now)
+	tasks := w.sortedTasks()
+	for _, t := range tasks {
+		if t.state != recording {
+			p.emit(Event{Kind: "run_lost", Task: t.ref(), Run: t.run, Worker: w.ID, Loss: w.runLoss(t, cause, now)})
+		}
 	}
-	for t := range w.tasks {
+	for _, t := range tasks {
 		p.unassign(t)
 		p.requeueOrBlock(t, now)
 	}
+	switch cause {
+	case LossCrash:
+		p.noteCrash(w, now)
+		for _, l := range lost {
+			p.recordCrash(l, now)
+		}
+	case LossSilent:
+		p.addDoubt(w, lost, now)
+	}
 }
 
 // SetReachable records whether a worker responds to calls. since is when it began or stopped to, or
@@ -95,6 +113,7 @@
 		w.reachable, w.unreachableSince = reachable, since
 		if reachable {
 			w.unreachableSince = 0
+			p.resolveDoubt(id, false, since)
 		}
 		kind := "worker_unreachable"
 		if reachable {
@@ -110,7 +129,7 @@
 	if w == nil {
 		return
 	}
-	w.responded = true
+	w.responded, w.respondedAt = true, now
 	if len(r.Ended) > 0 {
 		w.fullUntil = 0
 	}
@@ -123,6 +142,7 @@
 	for i := range r.Running {
 		p.observeRun(w, &r.Running[i], r.RequestedAt, now)
 	}
+	p.resolveTrials(w, false, now)
 	p.freeWithdrawnStarts(w, &r, now)
 }
 
@@ -219,6 +239,7 @@
 	current := t.worker == w && t.run == e.Run
 	if current {
 		p.unassign(t)
+		p.endRecordedTrial(t.unit(), e.Run)
 	}
 	if e.Checkpoint != "" && e.Run >= t.run {
 		t.checkpoint = e.Checkpoint
@@ -284,6 +305,7 @@
 	if t.state == waiting {
 		t.step.waitingTasks--
 	}
+	p.withdrawRecording(t, now)
 	if t.worker != nil && t.run != 0 && !t.step.spec.Gang {
 		// The successful end of an older run was reported late, while a newer run of the task
 		// exists.
@@ -355,11 +377,7 @@
 	switch {
 	case j.state.Final():
 	case failures >= j.attempts():
-		if t.state == waiting {
-			s.waitingTasks--
-		}
-		t.setState(exhausted, now)
-		p.finish(j, job.Failed, "a task failed as often as the queue allows", now)
+		p.exhaust(t, "a task failed as often as the queue allows", now)
 	case t.step.blockedBy == 0 && t.worker == nil && j.recovered && !p.recoveryFinished:
 		t.setState(unconfirmed, now) // workers that have not responded may report more failures
 	case current || t.worker == nil:
@@ -367,6 +385,16 @@
 	}
 }
 
+// exhaust fails the job of a task that does not start again.
+func (p *Pool) exhaust(t *task, cause string, now clock.Millis) {
+	if t.state == waiting {
+		t.step.waitingTasks--
+	}
+	p.withdrawRecording(t, now)
+	t.setState(exhausted, now)
+	p.finish(t.step.job, job.Failed, cause, now)
+}
+
 // Answered processes the outcome of an order. Outcomes for an earlier run or incarnation are
 // ignored.
 func (p *Pool) Answered(o Order, outcome Outcome, now clock.Millis) {
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -13,6 +13,7 @@
 	p.handleOverdueOrders(now)
 	p.paceAll(now)
 	p.evictFromLeavingWorkers(now)
+	p.runTrials(now)
 	p.placeWaitingTasks(now)
 	out := p.orders
 	p.orders = nil
@@ -149,7 +150,7 @@
 	}
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state != waiting {
+		if t.state != waiting || t.suspicion == startAlone {
 			continue
 		}
 		if !p.withinAllowance(s, 1) || p.startLimitReached() {
@@ -180,6 +181,10 @@
 func (p *Pool) start(t *task, w *worker, run int, now clock.Millis) {
 	t.run = run
 	t.percent, t.mayBeStopping, t.orderedAt = 0, false, now
+	if u := t.unit(); u.suspicion == startApart {
+		w.suspectAt = now
+		p.recordTrialOn(u, w, false)
+	}
 	p.assign(t, w, starting, now)
 	p.orders = append(p.orders, Order{
 		Kind: Start, Worker: w.ID, Incarnation: w.Incarnation, Task: t.ref(), Run: run, Spec: t.step.job.Spec, Checkpoint: t.checkpoint,
@@ -193,7 +198,7 @@
 	if s.job.policy.Advised {
 		p.requestAdvice(s, now)
 	}
-	if s.waitingTasks < len(s.tasks) || !p.withinAllowance(s, int64(len(s.tasks))) {
+	if s.waitingTasks < len(s.tasks) || s.tasks[0].suspicion == startAlone || !p.withinAllowance(s, int64(len(s.tasks))) {
 		return
 	}
 	run := s.nextRun(p.RunBase)
@@ -223,34 +228,45 @@
 	}
 }
 
-// chooseWorker returns the best worker for a task, or nil if none can take it now. It is the
-// only function that enforces capacity, labels and the limit on tasks of a step on one worker.
+// eligible reports whether a worker may take a task, if it has the capacity, and how many of the
+// step's tasks run there, if the step is long-running or limits them. It is the only function that
+// enforces labels, advice and the limit on tasks of a step on one worker.
+func (p *Pool) eligible(t *task, w *worker, now clock.Millis) (siblings int, ok bool) {
+	spec := t.step.spec
+	if !w.acceptsStarts(now) || !w.hasLabel(spec.Label) {
+		return 0, false
+	}
+	if t.step.job.policy.Advised && !t.step.advice.allows(w, now) {
+		return 0, false
+	}
+	if spec.MaxPerWorker > 0 || spec.LongRunning {
+		siblings = t.step.countOn(w)
+	}
+	return siblings, spec.MaxPerWorker == 0 || siblings < spec.MaxPerWorker
+}
+
+// chooseWorker returns the best worker for a task, or nil if none can take it now. Only it and
+// [Pool.hasRoom] enforce capacity.
 func (p *Pool) chooseWorker(t *task, now clock.Millis) *worker {
 	var best *worker
 	var bestCost int64
 	p.searches++
 	needs := t.needs()
 	spec := t.step.spec
-	packed := !spec.BestEffort && !spec.LongRunning
+	packed := !spec.BestEffort && !spec.LongRunning && t.unit().suspicion == unsuspected
 	candidates := p.sortedWorkers
 	if packed {
 		candidates = p.byFreeCPU.withFreeCPU(needs.CPU)
 	}
 	for _, w := range candidates {
-		if !w.acceptsStarts(now) || !w.hasLabel(spec.Label) || !needs.Fits(w.free()) || p.starterBusy(w) {
+		if !needs.Fits(w.free()) {
 			continue
 		}
-		if t.step.job.policy.Advised && !t.step.advice.allows(w, now) {
+		siblings, ok := p.eligible(t, w, now)
+		if !ok || p.starterBusy(w) {
 			continue
 		}
-		siblings := 0
-		if spec.MaxPerWorker > 0 || spec.LongRunning {
-			siblings = t.step.countOn(w)
-		}
-		if m := spec.MaxPerWorker; m > 0 && siblings >= m {
-			continue
-		}
-		cost := p.cost(t, w, siblings)
+		cost := p.cost(t, w, siblings, now)
 		if best == nil || cost < bestCost {
 			best, bestCost = w, cost
 		}
@@ -275,6 +291,7 @@
 // Costs of a placement. No sum of the lower ones reaches the next higher one.
 const (
 	costFailedBefore = 1 << 50 // the task failed on the worker before
+	costSuspect      = 1 << 48 // a suspected task was started on the worker a short time ago
 	costOtherRack    = 1 << 45 // on another rack than the data or the rest of the step
 	costSibling      = 1 << 38 // a long-running task on the same worker as another of its step
 	costInterference = 1 << 32 // a best-effort task on the same worker as a serving task
@@ -284,11 +301,14 @@
 // on their own are packed on the fullest workers, which leaves others empty for wide tasks,
 // moves and maintenance. siblings is the number of the step's tasks on the worker, if the step
 // is long-running or limits it.
-func (p *Pool) cost(t *task, w *worker, siblings int) int64 {
+func (p *Pool) cost(t *task, w *worker, siblings int, now clock.Millis) int64 {
 	var c int64
 	if t.failedOn[w] {
 		c += costFailedBefore
 	}
+	if w.suspectAt != 0 && now-w.suspectAt < startupTime {
+		c += costSuspect
+	}
 	spec := t.step.spec
 	if spec.DataRack != "" && spec.DataRack != w.Rack {
 		c += costOtherRack
@@ -302,6 +322,8 @@
 		c += int64(w.countServing())*costInterference + int64(w.countBestEffort())*costInterference/4 + int64(len(w.tasks))
 	case spec.LongRunning:
 		c += int64(siblings)*costSibling + w.used.CPU
+	case t.unit().suspicion != unsuspected:
+		c += int64(len(w.tasks))*costInterference + w.used.CPU
 	default:
 		c += free.CPU
 	}
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -59,6 +59,12 @@
 	recoveryFinished bool                        // recovered tasks may start
 	startsDeferred   bool                        // the last pass left out starts because of MaxStarting
 	searches         int                         // workers searched for a task in the last pass
+
+	suspects   []*task // units that are suspected to crash their workers
+	trials     []*trial
+	unresolved []unresolvedTrial
+	doubts     map[fleet.InstanceID]*doubt
+	crashedAt  map[string]clock.Millis // by machine, of workers that have crashed a short time ago
 }
 
 // New returns an empty pool. Tasks of recovered jobs do not start before [Pool.FinishRecovery] is
@@ -75,6 +81,7 @@
 		usedByTeam: map[fleet.TeamID]job.Resources{}, allowanceByTeam: map[fleet.TeamID]job.Resources{},
 		dirtyJobs: map[job.ID]*Job{}, stoppingTasks: map[*task]bool{}, startingTasks: map[*task]*starter{},
 		starters: map[fleet.MemberID]*starter{}, pendingJobs: map[fleet.QueueID]int{},
+		doubts: map[fleet.InstanceID]*doubt{}, crashedAt: map[string]clock.Millis{},
 	}
 }
 
@@ -132,6 +139,7 @@
 				t.state = done
 				s.doneTasks++
 			}
+			p.recoverSuspicion(t)
 		}
 		o.steps = append(o.steps, s)
 	}
@@ -192,6 +200,7 @@
 		return
 	}
 	p.recoveryFinished = true
+	p.resolveTrialsOfUnknownWorkers(now)
 	for _, j := range p.jobs {
 		j.eachTask(func(t *task) {
 			if t.state == unconfirmed {
@@ -223,12 +232,14 @@
 		p.removePending(j)
 	}
 	j.state, j.cause = to, cause
-	j.progress.State = to
+	j.progress.State, j.progress.Cause = to, cause
 	p.markDirty(j)
 	j.eachTask(func(t *task) {
 		switch t.state {
 		case starting, running:
 			p.stop(t, StopFinal, now)
+		case recording:
+			p.withdrawRecording(t, now)
 		case waiting:
 			t.step.waitingTasks--
 			t.setState(blocked, now)
@@ -383,6 +394,7 @@
 	if j := p.jobs[c.Job]; j != nil {
 		j.durableState = c.State
 	}
+	p.confirmTrials(c)
 }
 
 // Refuse reports whether a new job is to be refused because it cannot run in time, and when to
--- a/schedule/starter.go
+++ b/schedule/starter.go
@@ -19,7 +19,7 @@
 	if w == nil {
 		return
 	}
-	w.reachable, w.unreachableSince = false, 0
+	w.reachable = false // the former member's report, if it was unreachable, stays the newest one
 	if w.starterID != member || w.starter == nil {
 		p.setStarter(w, member)
 		p.emit(Event{Kind: "worker_assigned", Worker: id, Detail: string(member)})
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -12,6 +12,7 @@
 	blocked     taskState = iota // waits for earlier steps, or its job is in a final state
 	unconfirmed                  // recovered; may still run on a worker that has not responded
 	waiting                      // may start
+	recording                    // on a worker, but not started before its trial is durable
 	starting                     // a start was sent, without a response so far
 	running
 	stopping
@@ -45,6 +46,10 @@
 	// not stop it.
 	mayBeStopping bool
 	adoptedAt     clock.Millis
+	// Of a task, or of the first task of a gang:
+	suspicion suspicion
+	doubts    int    // runs lost with workers that were silent and may have crashed
+	trial     *trial // nil if there is none
 }
 
 // ref returns the task's reference for orders and reports.
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 
 	"citronknot/clock"
@@ -32,7 +34,8 @@
 	// unreachableSince is when the worker stopped responding, or 0 if it responds or the time is
 	// unknown.
 	unreachableSince clock.Millis
-	cordoned         bool // takes no new tasks, as its machine is to move or to be maintained
+	respondedAt      clock.Millis // when its latest response to a poll was processed
+	cordoned         bool         // takes no new tasks, as its machine is to move or to be maintained
 	cordonedAt       clock.Millis
 	fullUntil        clock.Millis   // no starts before this time, after a refusal for lack of capacity
 	recentFailures   float64        // halved by each success
@@ -40,6 +43,8 @@
 	starterID        fleet.MemberID // id of that member; empty for the owner
 	avoidUntil       clock.Millis   // no starts before this time, after repeated failures
 	unlisted         bool           // its entry is gone or names another incarnation
+	suspectAt        clock.Millis   // when a task that is to start apart was last started there
+	trial            *trial         // nothing else is started during it; nil if there is none
 }
 
 // Limits on starts after failures and refusals.
@@ -56,7 +61,17 @@
 
 // acceptsStarts reports whether the worker may be given new tasks now.
 func (w *worker) acceptsStarts(now clock.Millis) bool {
-	return w.responded && w.reachable && !w.cordoned && !w.Draining && !w.unlisted && now >= w.fullUntil && now >= w.avoidUntil
+	return w.isUsable(now) && now >= w.fullUntil && w.trial == nil
+}
+
+// isUsable reports whether the worker is in a state to run new tasks.
+func (w *worker) isUsable(now clock.Millis) bool {
+	return w.responded && w.reachable && !w.cordoned && !w.Draining && !w.unlisted && now >= w.avoidUntil
+}
+
+// sortedTasks returns the tasks that occupy the worker, in the order of their references.
+func (w *worker) sortedTasks() []*task {
+	return slices.SortedFunc(maps.Keys(w.tasks), func(a, b *task) int { return cmp.Compare(a.ref().String(), b.ref().String()) })
 }
 
 // free returns the capacity that no task occupies.
