Withdraw trials on workers whose capacity has shrunk

A trial occupies its worker and waits until it is durable; while the store is slow the worker's capacity can shrink below that, and the start would then have brought it over its capacity. Ordinary starts follow each registration and hold the rule. Change: a recorded trial is withdrawn if one of its workers has less capacity than its tasks occupy. Loops of the simulation end after a minute of its time.

--- a/hosted/process_test.go
+++ b/hosted/process_test.go
@@ -294,3 +294,30 @@
 	}
 	return n
 }
+
+// Guards against starts on a worker whose registration shows less capacity than before, with members
+// and the stand-ins.
+func TestNoStartOnShrunkWorker(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, 1)
+	m := c.otherMember()
+	w := c.workers[0]
+	c.submit(m, jobID(1), jobBody(8, 2500))
+	c.waitFor(5*time.Second, "all tasks run", func() bool { return len(w.Runs()) == 8 })
+	w.SetCapacity(1000)
+	c.waitFor(5*time.Second, "the owner knows the capacity", func() bool {
+		workers := c.waitForOwner().Dump().Pools["sorting"].Schedule.Workers
+		return len(workers) == 1 && workers[0].CPUOf == 1000
+	})
+	c.submit(m, jobID(2), jobBody(1, 50))
+	c.waitComplete(m, jobID(2), 10*time.Second)
+	runs := w.Runs()
+	last := runs[len(runs)-1]
+	beside := 0
+	for _, r := range runs[:8] {
+		if r.EndedAt.IsZero() || r.EndedAt.After(last.StartedAt) {
+			beside++
+		}
+	}
+	must.LessEq(t, 1, beside, must.Sprint("two tasks of half a core fit"))
+}
--- a/schedule/crash_test.go
+++ b/schedule/crash_test.go
@@ -32,7 +32,10 @@
 	jobs       []*job.Job
 	starts     map[job.Ref]int // starts that crashed their workers
 	mostDown   int             // workers that were down at once because of a third or later start
-	lost       map[job.Ref]int // runs lost with their workers
+
+	onStep  func()                 // called in each step, if not nil
+	onStart func(*simulatedWorker) // called after each start on a worker, if not nil
+	lost    map[job.Ref]int        // runs lost with their workers
 }
 
 // simulatedWorker is a worker of a crashSimulation.
@@ -148,6 +151,9 @@
 			s.advance(w)
 		}
 		s.countDown()
+		if s.onStep != nil {
+			s.onStep()
+		}
 		for _, o := range s.pool.Plan(s.now, s.now) {
 			s.carryOut(&o)
 		}
@@ -155,6 +161,15 @@
 	}
 }
 
+// runUntil runs the simulation until condition is true, and fails the test after a minute.
+func (s *crashSimulation) runUntil(condition func() bool) {
+	s.t.Helper()
+	for end := s.now + 60_000; !condition(); {
+		must.Less(s.t, end, s.now)
+		s.run(5)
+	}
+}
+
 // countDown updates mostDown.
 func (s *crashSimulation) countDown() {
 	down := 0
@@ -212,6 +227,9 @@
 		r.end = 0
 	}
 	w.runs[o.Task] = r
+	if s.onStart != nil {
+		s.onStart(w)
+	}
 	if s.deadly[o.Task] {
 		s.starts[o.Task]++
 		if w.crashAt == 0 {
@@ -500,21 +518,19 @@
 	s.deadly[ref] = true
 	s.run(5000)
 	must.Eq(t, 2, s.starts[ref])
-	for s.starts[ref] < 3 {
-		s.run(5)
+	s.runUntil(func() bool {
 		if len(s.durable[ref.Job].Trials) == 0 {
 			must.Eq(t, 2, s.starts[ref], must.Sprint("the third start was ordered before its trial was durable"))
 		}
-	}
+		return s.starts[ref] == 3
+	})
 	must.True(t, s.durable[ref.Job].Trials[job.Position{}].Alone)
 }
 
 // untilRecording runs the simulation until the trial of a task is being recorded, and holds it there.
 func (s *crashSimulation) untilRecording(ref job.Ref) {
 	s.commitTime = 15
-	for s.starts[ref] < 2 {
-		s.run(5)
-	}
+	s.runUntil(func() bool { return s.starts[ref] == 2 })
 	s.run(workerDowntime - 200)
 	s.commitTime = 1 << 40
 	s.run(1000)
@@ -578,9 +594,7 @@
 	s.pool.Cordon([]fleet.InstanceID{"w1"}, s.now)
 	ref := s.ref(s.add(1), 0)
 	s.deadly[ref] = true
-	for s.starts[ref] < 2 {
-		s.run(5)
-	}
+	s.runUntil(func() bool { return s.starts[ref] == 2 })
 	s.run(workerDowntime - 500)
 	s.pool.Cordon(nil, s.now)
 	s.workers[0].cpu = 0 // the task does not fit there any more
--- a/schedule/trial.go
+++ b/schedule/trial.go
@@ -272,7 +272,7 @@
 	for i, t := range tr.tasks {
 		tr.workers[i].reserve(t)
 	}
-	fits := !slices.ContainsFunc(tr.workers, func(w *worker) bool { return !(job.Resources{}).Fits(w.free()) })
+	fits := !slices.ContainsFunc(tr.workers, (*worker).isOverCapacity)
 	for i, t := range tr.tasks {
 		tr.workers[i].release(t)
 	}
@@ -347,7 +347,10 @@
 	if slices.ContainsFunc(tr.tasks, func(t *task) bool { return t.state != expected }) {
 		return false
 	}
-	return !slices.ContainsFunc(tr.workers, func(w *worker) bool { return p.workers[w.ID] != w || !w.isUsable(now) })
+	return !slices.ContainsFunc(tr.workers, func(w *worker) bool {
+		// The capacity may have shrunk since the trial was recorded.
+		return p.workers[w.ID] != w || !w.isUsable(now) || (tr.phase == trialRecording && w.isOverCapacity())
+	})
 }
 
 // startTrial orders the start of the tasks of a durable trial.
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -77,6 +77,10 @@
 // free returns the capacity that no task occupies.
 func (w *worker) free() job.Resources { return w.Capacity.Sub(w.used) }
 
+// isOverCapacity reports whether the worker's tasks occupy more than its capacity, which may shrink
+// while they run.
+func (w *worker) isOverCapacity() bool { return !(job.Resources{}).Fits(w.free()) }
+
 // reserve records that the task occupies the worker.
 func (w *worker) reserve(t *task) {
 	w.tasks[t] = true
--- a/standin/deployment/worker.go
+++ b/standin/deployment/worker.go
@@ -149,6 +149,14 @@
 	w.orderDelay = d
 }
 
+// SetCapacity changes the CPU capacity, in thousandths of a core, that the worker's registration
+// shows. Its runs continue, and it accepts starts beyond its capacity.
+func (w *Worker) SetCapacity(cpu int64) {
+	w.mu.Lock()
+	w.CPU = cpu
+	w.mu.Unlock()
+}
+
 // SetDraining makes the worker's registration show the state draining.
 func (w *Worker) SetDraining() {
 	w.mu.Lock()
