Start tasks elsewhere at once when their starts were not sent

A connection that breaks later leaves the outcome unknown, as before. The log line of an order without a response names the worker, also at dispatchers.

--- a/worker/calls.go
+++ b/worker/calls.go
@@ -51,11 +51,12 @@
 	Invalid                            // the worker could not decode the call
 	TicketInvalid                      // the adviser's ticket is missing or has expired
 	OtherIncarnation                   // another incarnation runs at the address
+	NotReached                         // the call was not sent; see NotSentError
 )
 
 // String returns the result's name in log lines and metrics.
 func (r Result) String() string {
-	return [...]string{"none", "done", "fence_too_old", "run_too_old", "lease_too_old", "no_room", "unhealthy", "invalid", "ticket_invalid", "other_incarnation"}[r]
+	return [...]string{"none", "done", "fence_too_old", "run_too_old", "lease_too_old", "no_room", "unhealthy", "invalid", "ticket_invalid", "other_incarnation", "not_reached"}[r]
 }
 
 // Answer is a worker's response to an order.
@@ -80,7 +81,7 @@
 
 // Calls are the calls to workers: to start a run, to stop one, to set the pace of one in percent,
 // and to poll. The outcome of a call that fails with an error is unknown: the worker may have
-// carried it out, or may do so later.
+// carried it out, or may do so later. Only a call that fails with a *NotSentError had no effect.
 type Calls struct {
 	Start func(ctx context.Context, to Target, o StartOrder) (Answer, error)
 	Stop  func(ctx context.Context, to Target, task job.Ref, run int, fence uint64) (Answer, error)
@@ -88,6 +89,16 @@
 	Poll  func(ctx context.Context, to Target, o PollRequest) (PollResponse, error)
 }
 
+// NotSentError reports a call that was not sent, because there was no connection to the worker.
+type NotSentError struct {
+	Err error
+}
+
+func (e *NotSentError) Error() string { return fmt.Sprintf("worker: the call was not sent: %v", e.Err) }
+
+// Unwrap returns the error of the connection.
+func (e *NotSentError) Unwrap() error { return e.Err }
+
 // StatusError reports a response whose HTTP status or result the call does not allow.
 type StatusError struct {
 	Call   string // path or name of the call, with the result if that is not allowed
--- a/worker/session.go
+++ b/worker/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -268,8 +269,12 @@
 	defer cancel()
 	requestedAt := s.Clock.Now()
 	answer, err := s.send(ctx, o, requestedAt)
+	var notSent *NotSentError
+	if errors.As(err, &notSent) {
+		return s.outcome(NotReached), NotReached
+	}
 	if err != nil {
-		s.Log.Warn("worker: no response to an order", "order", o.Kind.String(), "task", o.Task.String(), "run", o.Run, "worker", o.Worker, "err", err)
+		s.Log.Warn("worker: no response to an order", "order", o.Kind.String(), "task", o.Task.String(), "run", o.Run, "worker", s.Target.ID, "err", err)
 		return schedule.UnknownOutcome, 0
 	}
 	if answer.Clock != 0 {
@@ -306,7 +311,7 @@
 	switch r {
 	case Done:
 		return schedule.Accepted
-	case NoCapacity:
+	case NoCapacity, NotReached: // a worker that can't be reached gets no starts for a short time
 		return schedule.NoCapacity
 	case TicketInvalid:
 		return schedule.BadTicket
--- a/worker/session_test.go
+++ b/worker/session_test.go
@@ -257,3 +257,29 @@
 		must.Between(t, 4, lists, 6)
 	})
 }
+
+// Guards against tasks that wait until their worker is known to have ended although their starts were
+// never sent: a start to a worker that can't be reached leaves its task free to start elsewhere.
+func TestStartsThatWereNotSentHaveNoEffect(t *testing.T) {
+	for _, c := range []struct {
+		err     error
+		outcome schedule.Outcome
+	}{
+		{&worker.NotSentError{Err: errors.New("connection refused")}, schedule.NoCapacity},
+		{errors.New("connection reset"), schedule.UnknownOutcome},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSession(&fakeWorker{}, make(chan time.Time, 1))
+			s.Calls.Start = func(context.Context, worker.Target, worker.StartOrder) (worker.Answer, error) {
+				return worker.Answer{}, c.err
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := startSession(ctx, s)
+			time.Sleep(250 * time.Millisecond)
+			outcome, _ := s.Order(ctx, schedule.Order{Kind: schedule.Start})
+			must.Eq(t, c.outcome, outcome)
+			cancel()
+			<-ended
+		})
+	}
+}
