Let the suspected tasks of a job share a trial, and pools try more of them

Change: the suspected tasks of a job that fit on one worker start together in one trial; a crash shows that the job is to blame. The number of trials at once starts at two, grows with each that passes up to half of the workers, and is halved by a crash. A pass sorts the workers once and looks for workers for 32 suspected tasks at most. Each task of a gang has its own record of a trial, so that the next owner learns the fate of all its workers.

--- a/schedule/crash_test.go
+++ b/schedule/crash_test.go
@@ -519,7 +519,7 @@
 	s.run(5000)
 	must.Eq(t, 2, s.starts[ref])
 	s.runUntil(func() bool {
-		if len(s.durable[ref.Job].Trials) == 0 {
+		if !s.durable[ref.Job].Trials[job.Position{}].Alone {
 			must.Eq(t, 2, s.starts[ref], must.Sprint("the third start was ordered before its trial was durable"))
 		}
 		return s.starts[ref] == 3
@@ -607,3 +607,101 @@
 	s.run(300)
 	must.Eq(t, 3, s.starts[ref])
 }
+
+// Guards against a crash that is forgotten because the owner was lost in the moment between the second
+// start of a task and the return of its worker.
+func TestSecondStartIsRecorded(t *testing.T) {
+	s := newCrashSimulation(t, 4)
+	ref := s.ref(s.add(1), 0)
+	s.deadly[ref] = true
+	s.runUntil(func() bool { return s.starts[ref] == 2 })
+	s.run(100)
+	s.replaceOwner(2)
+	s.run(workerDowntime)
+	must.Len(t, 2, s.durable[ref.Job].Crashes[job.Position{}])
+}
+
+// Guards against trials beyond the allowance of a team.
+func TestTrialsStayWithinAllowance(t *testing.T) {
+	s := newCrashSimulation(t, 4)
+	s.pool.Limited = func(fleet.TeamID) bool { return true }
+	allow := func(cpu int64) {
+		s.pool.SetAllowance(map[fleet.TeamID]job.Resources{"alpha": {CPU: cpu, Memory: 1 << 30, GPU: 1 << 30}})
+	}
+	j := newJob(1, newStep(2))
+	j.Team = "alpha"
+	s.jobs = append(s.jobs, j)
+	allow(4000)
+	s.pool.Add(j, testPolicy, nil, 0, s.now)
+	ref := s.ref(1, 0)
+	s.deadly[ref] = true
+	s.runUntil(func() bool { return s.starts[ref] == 2 })
+	allow(500)
+	s.run(8000)
+	must.Eq(t, 2, s.starts[ref])
+	allow(4000)
+	s.run(20_000)
+	s.checkDeadlyJobs()
+}
+
+// recoveryTime is the time after the loss of all power in which the deployments are to serve again.
+const recoveryTime clock.Millis = 12_000
+
+// Guards against jobs that wait in a long queue of trials although they have done nothing: all workers
+// crash twice, each time just after all tasks have started.
+func TestSuspectsOfBurstAreServedSoon(t *testing.T) {
+	s := newCrashSimulation(t, 8)
+	for range 40 {
+		s.addSteps(newStep(6))
+	}
+	for range 2 {
+		s.run(100)
+		for _, w := range s.workers {
+			s.crash(w)
+		}
+		s.run(workerDowntime)
+	}
+	s.run(recoveryTime)
+	s.checkOtherJobs()
+}
+
+// BenchmarkPlanWithSuspects plans a full pool of 240 workers in which 1,000 tasks of 250 jobs are
+// suspected after a burst of crashes, none of which can start.
+func BenchmarkPlanWithSuspects(b *testing.B) {
+	for _, suspects := range []int{0, 100, 1000} {
+		b.Run(fmt.Sprintf("suspects=%d", suspects), func(b *testing.B) { benchmarkSuspects(b, suspects) })
+	}
+}
+
+// benchmarkSuspects runs BenchmarkPlanWithSuspects with a number of suspected tasks.
+func benchmarkSuspects(b *testing.B, suspects int) {
+	p := schedule.New(schedule.Config{Pool: "p"})
+	now := clock.Millis(1000)
+	for n := range suspects / 4 {
+		progress := &job.Progress{}
+		for index := range 4 {
+			at := job.Position{Index: index}
+			progress.AddCrash(at, job.Crash{Run: 1, Worker: "a", Age: 10})
+			progress.AddCrash(at, job.Crash{Run: 2, Worker: "b", Age: 10})
+		}
+		p.Add(newJob(n, newStep(4)), testPolicy, progress, 0, now)
+	}
+	p.FinishRecovery(now)
+	for i := range 240 {
+		w := fleet.InstanceID(fmt.Sprintf("w%03d", i))
+		p.SetWorker(schedule.Worker{ID: w, Incarnation: 1, Capacity: job.Resources{CPU: 16000, Memory: 32768}}, now)
+		p.SetReachable(w, true, now)
+		var running []schedule.RunReport
+		for k := range 16 {
+			running = append(running, schedule.RunReport{Task: job.Ref{Job: jobID(1 << 20), Index: i*16 + k}, Run: 1})
+		}
+		if i == 0 {
+			p.Add(newJob(1<<20, newStep(240*16)), testPolicy, &job.Progress{}, 0, now)
+		}
+		p.Observe(w, schedule.Report{Running: running}, now)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Plan(now, now)
+	}
+}
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -31,7 +31,7 @@
 	objective            clock.Millis // latest end at which the job still has its full value, on the owner's clock
 	criticalPath         clock.Millis // sum of the estimates on the longest path through the steps
 	dirty                bool
-	trials               int    // in progress, of its tasks
+	trial                *trial // of its suspected tasks; nil if there is none
 	cause                string // of a final state
 }
 
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -94,6 +94,9 @@
 	for _, t := range tasks {
 		p.unassign(t)
 		p.requeueOrBlock(t, now)
+		if cause != LossSilent { // a silent worker may have crashed, which the next owner is to know
+			p.endRecordedTrial(t, t.run)
+		}
 	}
 	switch cause {
 	case LossCrash:
@@ -239,7 +242,7 @@
 	current := t.worker == w && t.run == e.Run
 	if current {
 		p.unassign(t)
-		p.endRecordedTrial(t.unit(), e.Run)
+		p.endRecordedTrial(t, e.Run)
 	}
 	if e.Checkpoint != "" && e.Run >= t.run {
 		t.checkpoint = e.Checkpoint
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -4,6 +4,8 @@
 	"slices"
 
 	"citronknot/clock"
+	"citronknot/fleet"
+	"citronknot/job"
 )
 
 // Plan decides what to order now and returns the orders, each of which is to be sent once. now
@@ -168,22 +170,27 @@
 	return true
 }
 
-// withinAllowance reports whether a team may have n more tasks of a step running. It is the
-// only function that enforces a team's limit in a pool.
+// withinAllowance reports whether a team may have n more tasks of a step running.
 func (p *Pool) withinAllowance(s *stepRun, n int64) bool {
-	if s.job.Team == "" || p.Limited == nil || !p.Limited(s.job.Team) {
+	return p.withinAllowanceFor(s.job.Team, s.spec.Needs.Scale(n))
+}
+
+// withinAllowanceFor reports whether a team may use more of the pool. It is the only function that
+// enforces a team's limit in a pool.
+func (p *Pool) withinAllowanceFor(team fleet.TeamID, needs job.Resources) bool {
+	if team == "" || p.Limited == nil || !p.Limited(team) {
 		return true
 	}
-	return p.usedByTeam[s.job.Team].Add(s.spec.Needs.Scale(n)).Fits(p.allowanceByTeam[s.job.Team])
+	return p.usedByTeam[team].Add(needs).Fits(p.allowanceByTeam[team])
 }
 
 // start assigns a task to a worker and orders the start of a run.
 func (p *Pool) start(t *task, w *worker, run int, now clock.Millis) {
 	t.run = run
 	t.percent, t.mayBeStopping, t.orderedAt = 0, false, now
-	if u := t.unit(); u.suspicion == startApart {
+	if t.unit().suspicion == startApart {
 		w.suspectAt = now
-		p.recordTrialOn(u, w, false)
+		p.recordTrialOf(t, w, false)
 	}
 	p.assign(t, w, starting, now)
 	p.orders = append(p.orders, Order{
@@ -202,10 +209,7 @@
 		return
 	}
 	run := s.nextRun(p.RunBase)
-	checkpoint := ""
-	for i := range s.tasks {
-		checkpoint = max(checkpoint, s.tasks[i].checkpoint)
-	}
+	checkpoint := s.newestCheckpoint()
 	chosen := make([]*worker, 0, len(s.tasks))
 	for i := range s.tasks {
 		t := &s.tasks[i]
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -60,11 +60,13 @@
 	startsDeferred   bool                        // the last pass left out starts because of MaxStarting
 	searches         int                         // workers searched for a task in the last pass
 
-	suspects   []*task // units that are suspected to crash their workers
-	trials     []*trial
-	unresolved []unresolvedTrial
-	doubts     map[fleet.InstanceID]*doubt
-	crashedAt  map[string]clock.Millis // by machine, of workers that have crashed a short time ago
+	suspects []*task // units that are suspected to crash their workers
+	trials   []*trial
+	// trialsPassed is the balance of recent trials; see newTrialLimits.
+	trialsPassed int
+	unresolved   []unresolvedTrial
+	doubts       map[fleet.InstanceID]*doubt
+	crashedAt    map[string]clock.Millis // by machine, of workers that have crashed a short time ago
 }
 
 // New returns an empty pool. Tasks of recovered jobs do not start before [Pool.FinishRecovery] is
@@ -393,8 +395,8 @@
 func (p *Pool) Committed(c Change) {
 	if j := p.jobs[c.Job]; j != nil {
 		j.durableState = c.State
+		j.confirmTrial(c)
 	}
-	p.confirmTrials(c)
 }
 
 // Refuse reports whether a new job is to be refused because it cannot run in time, and when to
--- a/schedule/suspicion.go
+++ b/schedule/suspicion.go
@@ -161,8 +161,8 @@
 	case max(w.unreachableSince, w.respondedAt)-started > startupTime: // it had gone on for at least this long
 		c.Age = max(w.unreachableSince, w.respondedAt) - started
 	}
-	tr := t.unit().trial
-	c.Alone = tr != nil && tr.phase == trialRunning && (c.Within(quickCrashAge) || w.runsOnly(tr))
+	tr := w.trial
+	c.Alone = tr != nil && tr.has(t) && tr.phase == trialRunning && (c.Within(quickCrashAge) || w.runsOnly(tr))
 	return c
 }
 
@@ -289,21 +289,20 @@
 
 // unresolvedTrial is a trial that a former owner of the pool recorded, and whose outcome is unknown.
 type unresolvedTrial struct {
-	unit *task
+	task *task
 	job.Trial
 }
 
 // recoverSuspicion restores what is durable of the suspicion against a task.
 func (p *Pool) recoverSuspicion(t *task) {
-	if t.unit() != t || t.state == done {
+	if t.state == done {
 		return
 	}
-	progress := &t.step.job.progress
-	if len(progress.Crashes[t.position()]) > 0 {
+	if t.unit() == t && len(t.crashes()) > 0 {
 		p.updateSuspicion(t)
 	}
-	if recorded, ok := progress.Trials[t.position()]; ok {
-		p.unresolved = append(p.unresolved, unresolvedTrial{unit: t, Trial: recorded})
+	if recorded, ok := t.step.job.progress.Trials[t.position()]; ok {
+		p.unresolved = append(p.unresolved, unresolvedTrial{task: t, Trial: recorded})
 	}
 }
 
@@ -316,7 +315,7 @@
 			return false
 		}
 		if crashed {
-			p.recordCrash(lostRun{task: u.unit, crash: job.Crash{Run: u.Run, Worker: w.ID, Machine: w.Machine, Age: -1, Alone: u.Alone}}, now)
+			p.recordCrash(lostRun{task: u.task, crash: job.Crash{Run: u.Run, Worker: w.ID, Machine: w.Machine, Age: -1, Alone: u.Alone}}, now)
 		}
 		return true
 	})
@@ -329,7 +328,7 @@
 		if w := p.workers[u.Worker]; w != nil && w.Incarnation == u.Incarnation {
 			return false
 		}
-		p.recordCrash(lostRun{task: u.unit, crash: job.Crash{Run: u.Run, Worker: u.Worker, Age: -1}}, now)
+		p.recordCrash(lostRun{task: u.task, crash: job.Crash{Run: u.Run, Worker: u.Worker, Age: -1}}, now)
 		return true
 	})
 }
@@ -340,7 +339,7 @@
 		if !resolve(&u) {
 			return false
 		}
-		p.endRecordedTrial(u.unit, u.Run)
+		p.endRecordedTrial(u.task, u.Run)
 		return true
 	})
 }
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -48,8 +48,7 @@
 	adoptedAt     clock.Millis
 	// Of a task, or of the first task of a gang:
 	suspicion suspicion
-	doubts    int    // runs lost with workers that were silent and may have crashed
-	trial     *trial // nil if there is none
+	doubts    int // runs lost with workers that were silent and may have crashed
 }
 
 // ref returns the task's reference for orders and reports.
@@ -115,6 +114,15 @@
 	return n + 1
 }
 
+// newestCheckpoint returns the newest checkpoint of a gang's tasks, which is valid for all of them.
+func (s *stepRun) newestCheckpoint() string {
+	newest := ""
+	for i := range s.tasks {
+		newest = max(newest, s.tasks[i].checkpoint)
+	}
+	return newest
+}
+
 // countNotWorking returns the number of tasks of a long-running step, other than t, that are
 // not confirmed to work.
 func (s *stepRun) countNotWorking(t *task) int {
--- a/schedule/trial.go
+++ b/schedule/trial.go
@@ -8,16 +8,22 @@
 	"citronknot/job"
 )
 
-// trial is the start of a suspected task on a worker that runs nothing else, or only settled runs, so
-// that a crash shows that the task is the cause. During a trial nothing else is started on its workers.
+// trial is the start of suspected tasks of a job on workers that run nothing else, or only settled
+// runs, so that a crash shows that the job is the cause. During a trial nothing else is started on its
+// workers.
 type trial struct {
-	unit    *task
-	tasks   []*task   // the unit, or all tasks of its gang
-	workers []*worker // of the tasks
-	run     int       // number of the run, once it is recorded
-	phase   trialPhase
-	since   clock.Millis // when the phase began
-	durable bool         // the trial is durable, so that the start may be ordered
+	job    *Job
+	starts []trialStart
+	phase  trialPhase
+	since  clock.Millis // when the phase began
+}
+
+// trialStart is the start of one task in a trial.
+type trialStart struct {
+	task    *task
+	worker  *worker
+	run     int  // number of the run, once it is recorded
+	durable bool // the run is recorded durably
 }
 
 // trialPhase is the phase of a trial.
@@ -29,20 +35,30 @@
 	trialRunning
 )
 
-// aloneTime is the longest time for which the task of a trial keeps its worker to itself.
+// aloneTime is the longest time for which the tasks of a trial keep their workers to themselves.
 const aloneTime clock.Millis = 10_000
 
 // trialLimits bounds the trials of a pool, so that suspected tasks leave most of it to others: they
 // can take down at most all workers at once, and keep others from reserved ones. A worker that
 // crashes is back after seconds.
 type trialLimits struct {
-	all      int // trials that may yet crash their workers, or whose workers do not respond any more
+	all      int // trials whose workers may yet crash, or do not respond any more
 	reserved int // trials that wait for other runs to end
 }
 
-// newTrialLimits returns the limits of a pool with the given number of workers.
-func newTrialLimits(workers int) trialLimits {
-	return trialLimits{all: max(2, workers/3), reserved: max(1, workers/8)}
+// The bounds of trialLimits.all: minTrials, and a part of the pool's workers while the trials show
+// that most suspects have done nothing.
+const (
+	minTrials      = 2
+	maxTrialsShare = 2 // at most one worker in so many
+)
+
+// newTrialLimits returns the limits of a pool with the given number of workers. passed is the balance
+// of recent trials: it grows with each one that passes, and is halved by a crash. After a burst of
+// crashes many tasks are suspected that have done nothing, and wait less; while the suspects crash
+// their workers, few trials take place at once.
+func newTrialLimits(workers, passed int) trialLimits {
+	return trialLimits{all: min(max(minTrials, workers/maxTrialsShare), minTrials+passed), reserved: max(1, workers/8)}
 }
 
 // count takes a trial from the limits.
@@ -51,7 +67,7 @@
 	case tr.phase == trialReserved:
 		l.reserved--
 		l.all--
-	case tr.phase == trialRecording || tr.crashed() || now-tr.since < settledAge:
+	case tr.phase == trialRecording || tr.unresponsive() || now-tr.since < quickCrashAge:
 		l.all--
 	}
 }
@@ -66,39 +82,46 @@
 		p.forgetCrashes(u, now)
 		return u.suspicion == unsuspected || u.state == done || u.step.job.state.Final()
 	})
-	limits := newTrialLimits(len(p.workers))
+	limits := newTrialLimits(len(p.workers), p.trialsPassed)
 	for _, tr := range p.trials {
 		limits.count(tr, now)
 	}
 	if limits.all <= 0 {
 		return
 	}
-	for _, u := range p.trialCandidates() {
-		if u.step.job.trials > 0 {
+	candidates := p.trialCandidates()
+	if len(candidates) == 0 {
+		return
+	}
+	workers := p.trialWorkers(limits.reserved > 0, now)
+	for _, u := range candidates[:min(len(candidates), maxTrialSearches)] {
+		if u.step.job.trial != nil {
 			continue // a job takes down one worker at a time
 		}
-		tr := p.beginTrial(u, limits.reserved > 0, now)
+		tr := p.beginTrial(u, workers, now)
 		if tr == nil {
 			continue
 		}
 		p.trials = append(p.trials, tr)
-		if limits.count(tr, now); limits.all <= 0 {
+		if limits.count(tr, now); limits.all <= 0 || len(workers) == 0 {
 			return
 		}
+		if limits.reserved <= 0 {
+			workers = p.trialWorkers(false, now)
+		}
 	}
 }
 
-// crashed reports whether a worker of a trial that has begun does not respond any more.
-func (tr *trial) crashed() bool {
-	return tr.phase == trialRunning && slices.ContainsFunc(tr.workers, func(w *worker) bool { return !w.reachable })
-}
+// maxTrialSearches limits the suspected tasks for which one pass looks for workers, so that a pass
+// takes no longer after a burst of crashes.
+const maxTrialSearches = 32
 
 // trialCandidates returns the suspected tasks that wait for a start. Those that are least likely to
 // crash another worker come first.
 func (p *Pool) trialCandidates() []*task {
 	var out []*task
 	for _, u := range p.suspects {
-		if u.suspicion == startAlone && u.trial == nil && u.isWaiting() {
+		if u.needsTrial() {
 			out = append(out, u)
 		}
 	}
@@ -117,221 +140,131 @@
 	return n
 }
 
-// isWaiting reports whether a unit may start: the task, or all tasks of its gang, are waiting.
-func (t *task) isWaiting() bool {
+// needsTrial reports whether a unit is to start in a trial and may start: the task, or all tasks of
+// its gang, are waiting.
+func (t *task) needsTrial() bool {
+	if t.suspicion != startAlone {
+		return false
+	}
 	if t.step.spec.Gang {
 		return t.step.waitingTasks == len(t.step.tasks)
 	}
 	return t.state == waiting
 }
 
-// tasksOfUnit returns the tasks that start together with a unit.
-func (t *task) tasksOfUnit() []*task {
-	if !t.step.spec.Gang {
-		return []*task{t}
-	}
-	out := make([]*task, len(t.step.tasks))
-	for i := range out {
-		out[i] = &t.step.tasks[i]
-	}
-	return out
-}
-
-// beginTrial begins the trial of a unit, or reserves workers for it if mayReserve says so and other
-// runs have to end first. It returns nil if there are no workers.
-func (p *Pool) beginTrial(u *task, mayReserve bool, now clock.Millis) *trial {
-	tasks := u.tasksOfUnit()
-	if !p.withinAllowance(u.step, int64(len(tasks))) {
-		return nil
-	}
+// beginTrial begins the trial of a unit and of the other suspected tasks of its job that fit beside
+// it, on some of the workers, which it reserves if other runs have to end first. It returns nil if none
+// of the workers fits.
+func (p *Pool) beginTrial(u *task, workers []*worker, now clock.Millis) *trial {
 	if u.step.job.policy.Advised {
 		p.requestAdvice(u.step, now)
 	}
-	workers := p.chooseTrialWorkers(tasks, now)
-	if workers == nil {
-		return nil
-	}
-	tr := &trial{unit: u, tasks: tasks, workers: workers, since: now}
-	ready := p.trialReady(tr, now)
-	if !ready && !mayReserve {
+	tr := &trial{job: u.step.job, starts: p.chooseTrialWorkers(u, workers, now), since: now}
+	if tr.starts == nil {
 		return nil
 	}
-	u.trial = tr
-	u.step.job.trials++
-	for _, w := range workers {
-		w.trial = tr
+	tr.job.trial = tr
+	for _, s := range tr.starts {
+		s.worker.trial = tr
 	}
-	if ready {
+	if p.trialReady(tr, now) {
 		p.recordTrial(tr, now)
 	}
 	return tr
 }
 
-// chooseTrialWorkers returns a worker for each of the tasks of a unit, or nil if there are not
-// enough. Workers with few other runs are best: these are lost if the trial crashes the worker, or
-// have to end first.
-func (p *Pool) chooseTrialWorkers(tasks []*task, now clock.Millis) []*worker {
-	t := tasks[0]
-	candidates := slices.DeleteFunc(slices.Clone(p.sortedWorkers), func(w *worker) bool {
-		_, ok := p.eligible(t, w, now)
-		return !ok || p.starterBusy(w)
-	})
-	slices.SortStableFunc(candidates, func(a, b *worker) int {
-		return cmp.Compare(p.trialCost(t, a, now), p.trialCost(t, b, now))
-	})
-	var out []*worker
-	for _, w := range candidates {
-		free := w.Capacity.Sub(w.lastingUse())
-		placed := 0
-		for len(out) < len(tasks) && t.needs().Scale(int64(placed+1)).Fits(free) && !t.step.fullOn(w, placed) {
-			out = append(out, w)
-			placed++
-		}
-		if len(out) == len(tasks) {
-			return out
-		}
-	}
-	return nil
-}
-
-// fullOn reports whether the limit on tasks of the step on one worker permits no more there, beside
-// those that run and added more.
-func (s *stepRun) fullOn(w *worker, added int) bool {
-	return s.spec.MaxPerWorker > 0 && s.countOn(w)+added >= s.spec.MaxPerWorker
+// trialReady reports whether the start of a trial may be recorded.
+func (p *Pool) trialReady(tr *trial, now clock.Millis) bool {
+	return p.hasRoom(tr) && !slices.ContainsFunc(tr.starts, func(s trialStart) bool { return !s.worker.isSettled(now) })
 }
 
-// Costs of a worker for a trial. No sum of the lower ones reaches the next higher one.
-const (
-	trialCostCrashed = 1 << 40 // its machine has crashed a short time ago
-	trialCostWait    = 1 << 30 // other runs have to end first
-	trialCostLasting = 1 << 20 // for each long-running task on it, and for another rack than that of the data
-)
-
-// trialCost returns the cost of a worker for a trial.
-func (p *Pool) trialCost(t *task, w *worker, now clock.Millis) int64 {
-	var c int64
-	if at, ok := p.crashedAt[w.Machine]; ok && w.Machine != "" && now-at < doubtTime {
-		c += trialCostCrashed
-	}
-	if !w.isSettled(now) {
-		c += trialCostWait
+// hasRoom reports whether the tasks of a trial fit on their workers and within their team's allowance
+// now. Only it and [Pool.chooseWorker] enforce capacity.
+func (p *Pool) hasRoom(tr *trial) bool {
+	if !p.withinAllowanceFor(tr.job.Team, tr.needs()) {
+		return false
 	}
-	for o := range w.tasks {
-		c++
-		if o.step.spec.LongRunning {
-			c += trialCostLasting
-		}
+	for _, s := range tr.starts {
+		s.worker.reserve(s.task)
 	}
-	if spec := t.step.spec; spec.DataRack != "" && spec.DataRack != w.Rack {
-		c += trialCostLasting
+	fits := !slices.ContainsFunc(tr.starts, func(s trialStart) bool { return s.worker.isOverCapacity() })
+	for _, s := range tr.starts {
+		s.worker.release(s.task)
 	}
-	return c
+	return fits
 }
 
-// lastingUse returns what the worker's long-running tasks occupy. The others end soon.
-func (w *worker) lastingUse() job.Resources {
+// needs returns what the tasks of a trial need together.
+func (tr *trial) needs() job.Resources {
 	var sum job.Resources
-	for t := range w.tasks {
-		if t.step.spec.LongRunning {
-			sum = sum.Add(t.needs())
-		}
+	for _, s := range tr.starts {
+		sum = sum.Add(s.task.step.spec.Needs)
 	}
 	return sum
 }
 
-// isSettled reports whether all runs on the worker have gone on for settledAge.
-func (w *worker) isSettled(now clock.Millis) bool {
-	for t := range w.tasks {
-		if now-max(t.orderedAt, t.adoptedAt) < settledAge {
-			return false
-		}
-	}
-	return true
-}
-
-// runsOnly reports whether all runs on the worker belong to a trial.
-func (w *worker) runsOnly(tr *trial) bool {
-	for t := range w.tasks {
-		if t.unit() != tr.unit {
-			return false
-		}
-	}
-	return true
-}
-
-// trialReady reports whether the start of a trial may be recorded.
-func (p *Pool) trialReady(tr *trial, now clock.Millis) bool {
-	if !p.withinAllowance(tr.unit.step, int64(len(tr.tasks))) || !tr.hasRoom() {
-		return false
-	}
-	return !slices.ContainsFunc(tr.workers, func(w *worker) bool { return !w.isSettled(now) })
-}
-
-// hasRoom reports whether the tasks fit on their workers now.
-func (tr *trial) hasRoom() bool {
-	for i, t := range tr.tasks {
-		tr.workers[i].reserve(t)
-	}
-	fits := !slices.ContainsFunc(tr.workers, (*worker).isOverCapacity)
-	for i, t := range tr.tasks {
-		tr.workers[i].release(t)
-	}
-	return fits
-}
-
 // recordTrial assigns the tasks of a trial to their workers and records the trial. The start is
 // ordered once that is durable.
 func (p *Pool) recordTrial(tr *trial, now clock.Millis) {
-	u := tr.unit
 	tr.phase, tr.since = trialRecording, now
-	run := u.step.nextRun(p.RunBase)
-	if !u.step.spec.Gang {
-		run = max(u.run, p.RunBase) + 1
-	}
-	checkpoint := ""
-	for _, t := range tr.tasks {
-		checkpoint = max(checkpoint, t.checkpoint)
+	gangRun, checkpoint := 0, ""
+	for i := range tr.starts {
+		s := &tr.starts[i]
+		t := s.task
+		s.run = max(t.run, p.RunBase) + 1
+		if t.step.spec.Gang { // all tasks of a gang have one run number and one checkpoint
+			gangRun = max(gangRun, t.step.nextRun(p.RunBase))
+			checkpoint = max(checkpoint, t.step.newestCheckpoint())
+			s.run, t.checkpoint = gangRun, checkpoint
+		}
 	}
-	for i, t := range tr.tasks {
-		t.run, t.checkpoint = run, checkpoint
-		p.assign(t, tr.workers[i], recording, now)
+	for _, s := range tr.starts {
+		s.task.run = s.run
+		p.assign(s.task, s.worker, recording, now)
+		p.recordTrialOf(s.task, s.worker, true)
 	}
-	tr.run = run
-	p.recordTrialOn(u, tr.workers[0], true)
 }
 
-// recordTrialOn records the newest run of a suspected unit as a trial on a worker.
-func (p *Pool) recordTrialOn(u *task, w *worker, alone bool) {
-	j := u.step.job
-	j.progress.SetTrial(u.position(), job.Trial{Run: u.run, Worker: w.ID, Incarnation: w.Incarnation, Alone: alone})
+// recordTrialOf records the newest run of a suspected task as a trial on a worker.
+func (p *Pool) recordTrialOf(t *task, w *worker, alone bool) {
+	j := t.step.job
+	j.progress.SetTrial(t.position(), job.Trial{Run: t.run, Worker: w.ID, Incarnation: w.Incarnation, Alone: alone})
 	p.markDirty(j)
 }
 
-// confirmTrials records that the trials in a change are durable.
-func (p *Pool) confirmTrials(c Change) {
-	for _, tr := range p.trials {
-		if tr.phase != trialRecording || tr.unit.step.job.ID != c.Job {
-			continue
-		}
-		recorded, ok := c.Progress.Trials[tr.unit.position()]
-		tr.durable = tr.durable || (ok && recorded.Run == tr.run)
+// confirmTrial records which starts of a job's trial are durable.
+func (j *Job) confirmTrial(c Change) {
+	if j.trial == nil {
+		return
 	}
+	for i := range j.trial.starts {
+		s := &j.trial.starts[i]
+		recorded, ok := c.Progress.Trials[s.task.position()]
+		s.durable = s.durable || (ok && recorded.Run == s.run)
+	}
+}
+
+// isDurable reports whether the starts of a trial may be ordered.
+func (tr *trial) isDurable() bool {
+	return !slices.ContainsFunc(tr.starts, func(s trialStart) bool { return !s.durable })
 }
 
 // advanceTrial continues a trial and reports whether it is over.
 func (p *Pool) advanceTrial(tr *trial, now clock.Millis) bool {
 	switch {
-	case tr.phase == trialReserved && !p.trialPossible(tr, now):
-		p.endTrial(tr)
+	case tr.phase != trialRunning && !p.trialPossible(tr, now):
+		p.withdrawTrial(tr, now)
 		return true
 	case tr.phase == trialReserved && p.trialReady(tr, now):
 		p.recordTrial(tr, now)
-	case tr.phase == trialRecording && !p.trialPossible(tr, now):
-		p.withdrawTrial(tr, now)
-		return true
-	case tr.phase == trialRecording && tr.durable:
+	case tr.phase == trialRecording && tr.isDurable():
 		p.startTrial(tr, now)
-	case tr.phase == trialRunning && p.trialOver(tr, now):
+	case tr.phase == trialRunning && tr.isOver(now):
+		if tr.crashed() {
+			p.trialsPassed /= 2
+		} else {
+			p.trialsPassed = min(p.trialsPassed+1, len(p.workers))
+		}
 		p.endTrial(tr)
 		return true
 	}
@@ -344,62 +277,50 @@
 	if tr.phase == trialRecording {
 		expected = recording
 	}
-	if slices.ContainsFunc(tr.tasks, func(t *task) bool { return t.state != expected }) {
-		return false
-	}
-	return !slices.ContainsFunc(tr.workers, func(w *worker) bool {
+	return !slices.ContainsFunc(tr.starts, func(s trialStart) bool {
+		w := s.worker
+		if s.task.state != expected || p.workers[w.ID] != w || !w.isUsable(now) {
+			return true
+		}
 		// The capacity may have shrunk since the trial was recorded.
-		return p.workers[w.ID] != w || !w.isUsable(now) || (tr.phase == trialRecording && w.isOverCapacity())
+		return tr.phase == trialRecording && w.isOverCapacity()
 	})
 }
 
-// startTrial orders the start of the tasks of a durable trial.
+// startTrial orders the starts of a durable trial.
 func (p *Pool) startTrial(tr *trial, now clock.Millis) {
 	tr.phase, tr.since = trialRunning, now
-	for i, t := range tr.tasks {
-		w := tr.workers[i]
-		p.emit(Event{Kind: "task_started_alone", Task: t.ref(), Run: t.run, Worker: w.ID, Machine: w.Machine, Rack: w.Rack})
+	for _, s := range tr.starts {
+		t, w := s.task, s.worker
+		p.emit(Event{Kind: "task_started_alone", Task: t.ref(), Run: s.run, Worker: w.ID})
 		p.unassign(t)
-		p.start(t, w, t.run, now)
+		p.start(t, w, s.run, now)
 	}
 }
 
-// trialOver reports whether a trial is over: its runs have ended, or have gone on for aloneTime.
-func (p *Pool) trialOver(tr *trial, now clock.Millis) bool {
-	for i, t := range tr.tasks {
-		if t.worker == tr.workers[i] && (now-tr.since < aloneTime || !t.worker.reachable) {
-			return false
-		}
-	}
-	return true
+// isOver reports whether a trial is over: its runs have ended, or have gone on for aloneTime.
+func (tr *trial) isOver(now clock.Millis) bool {
+	return !slices.ContainsFunc(tr.starts, func(s trialStart) bool {
+		return s.task.worker == s.worker && (now-tr.since < aloneTime || !s.worker.reachable)
+	})
 }
 
-// endTrial ends a trial. Its workers take other tasks again.
-func (p *Pool) endTrial(tr *trial) {
-	u := tr.unit
-	u.trial = nil
-	u.step.job.trials--
-	for _, w := range tr.workers {
-		if w.trial == tr {
-			w.trial = nil
-		}
-	}
-	if tr.phase != trialReserved {
-		p.endRecordedTrial(u, tr.run)
-	}
+// unresponsive reports whether a worker of a trial that has begun does not respond any more.
+func (tr *trial) unresponsive() bool {
+	return tr.phase == trialRunning && slices.ContainsFunc(tr.starts, func(s trialStart) bool { return !s.worker.reachable })
 }
 
-// endRecordedTrial removes the record of the trial of a unit's run, if there is one.
-func (p *Pool) endRecordedTrial(u *task, run int) {
-	if j := u.step.job; !j.state.Final() && j.progress.EndTrial(u.position(), run) {
-		p.markDirty(j)
-	}
+// crashed reports whether a run of the trial was lost in a crash.
+func (tr *trial) crashed() bool {
+	return slices.ContainsFunc(tr.starts, func(s trialStart) bool {
+		return slices.ContainsFunc(s.task.crashes(), func(c job.Crash) bool { return c.Run == s.run })
+	})
 }
 
-// withdrawTrial ends a trial whose start was not ordered. Its tasks wait again.
+// withdrawTrial ends a trial whose starts were not ordered. Its tasks wait again.
 func (p *Pool) withdrawTrial(tr *trial, now clock.Millis) {
-	for _, t := range tr.tasks {
-		if t.state == recording {
+	for _, s := range tr.starts {
+		if t := s.task; t.state == recording {
 			p.unassign(t)
 			p.requeueOrBlock(t, now)
 		}
@@ -407,6 +328,24 @@
 	p.endTrial(tr)
 }
 
+// endTrial ends a trial. Its workers take other tasks again.
+func (p *Pool) endTrial(tr *trial) {
+	tr.job.trial = nil
+	for _, s := range tr.starts {
+		if s.worker.trial == tr {
+			s.worker.trial = nil
+		}
+		p.endRecordedTrial(s.task, s.run)
+	}
+}
+
+// endRecordedTrial removes the record of the trial of a task's run, if there is one.
+func (p *Pool) endRecordedTrial(t *task, run int) {
+	if j := t.step.job; !j.state.Final() && j.progress.EndTrial(t.position(), run) {
+		p.markDirty(j)
+	}
+}
+
 // withdrawRecording frees the worker of a task whose start is being recorded, and was not ordered.
 func (p *Pool) withdrawRecording(t *task, now clock.Millis) {
 	if t.state == recording {
