Show why jobs have failed and which tasks are suspected

Cause: a caller saw `failed` without a reason, the reason was lost with the owner that decided it, and nobody but the log said which tasks are suspected to crash workers. Change: the cause of a final state is part of the progress; failed jobs show it (`cause` in the product's interface and `citronknot jobs show`, `detail` on the platform's). `citronknot suspects`, GET /v1/suspects, suspects in the state dump, citronknot_pool_suspects.

--- a/caller/jobs.go
+++ b/caller/jobs.go
@@ -40,6 +40,7 @@
 	Queue string `json:"queue"`
 	Pool  string `json:"pool"`
 	State string `json:"state"`
+	Cause string `json:"cause,omitempty"` // why the job has failed
 }
 
 // WireQueue is the response body of the call on a queue.
@@ -117,7 +118,7 @@
 		WriteProblem(w, c.ID, p)
 		return
 	}
-	writeJSON(w, WireJob{ID: string(c.Job), Queue: string(c.Queue.ID), Pool: string(c.Queue.Pool), State: string(a.State)})
+	writeJSON(w, WireJob{ID: string(c.Job), Queue: string(c.Queue.ID), Pool: string(c.Queue.Pool), State: string(a.State), Cause: a.Detail})
 }
 
 func writeJSON(w http.ResponseWriter, body any) {
--- a/hosted/calls.go
+++ b/hosted/calls.go
@@ -215,21 +215,21 @@
 	return poolCall{
 		name: "state", pool: pool, id: id,
 		local: func(ctx context.Context, o *owner.Owner) (job.Answer, error) {
-			state, found, err := o.State(ctx, id)
-			return stateAnswer(state, found), err
+			status, found, err := o.Status(ctx, id)
+			return statusAnswer(status, found), err
 		},
 		remote: func(ctx context.Context, address string) (job.Answer, error) {
-			state, found, err := p.members.state(ctx, address, pool, id)
-			return stateAnswer(state, found), err
+			status, found, err := p.members.status(ctx, address, pool, id)
+			return statusAnswer(status, found), err
 		},
 	}
 }
 
-func stateAnswer(state job.State, found bool) job.Answer {
+func statusAnswer(status owner.JobStatus, found bool) job.Answer {
 	if !found {
 		return job.Answer{Outcome: job.OutcomeNoSuchJob, Detail: "no such job"}
 	}
-	return job.Answer{Outcome: job.OutcomeDone, State: state}
+	return job.Answer{Outcome: job.OutcomeDone, State: status.State, Detail: status.Cause}
 }
 
 func (p *Process) cancelCall(pool fleet.PoolID, id job.ID) poolCall {
@@ -237,11 +237,11 @@
 		name: "cancel", pool: pool, id: id,
 		local: func(ctx context.Context, o *owner.Owner) (job.Answer, error) {
 			found, err := o.Cancel(ctx, id)
-			return stateAnswer(job.Cancelled, found), err
+			return statusAnswer(owner.JobStatus{State: job.Cancelled}, found), err
 		},
 		remote: func(ctx context.Context, address string) (job.Answer, error) {
 			found, err := p.members.cancel(ctx, address, pool, id)
-			return stateAnswer(job.Cancelled, found), err
+			return statusAnswer(owner.JobStatus{State: job.Cancelled}, found), err
 		},
 	}
 }
--- a/hosted/members.go
+++ b/hosted/members.go
@@ -28,6 +28,7 @@
 // wireResponse is the body of the response to a call between members.
 type wireResponse struct {
 	State      string `json:"state,omitempty"`
+	Cause      string `json:"cause,omitempty"` // of the state failed
 	Found      bool   `json:"found,omitempty"`
 	Count      int    `json:"count,omitempty"`
 	Reason     string `json:"reason,omitempty"`
@@ -115,8 +116,8 @@
 }
 
 func (p *Process) serveState(ctx context.Context, o *owner.Owner, r *http.Request) (wireResponse, error) {
-	state, found, err := o.State(ctx, job.ID(r.PathValue("id")))
-	return wireResponse{State: string(state), Found: found}, err
+	status, found, err := o.Status(ctx, job.ID(r.PathValue("id")))
+	return wireResponse{State: string(status.State), Cause: status.Cause, Found: found}, err
 }
 
 func (p *Process) serveCancel(ctx context.Context, o *owner.Owner, r *http.Request) (wireResponse, error) {
@@ -152,9 +153,9 @@
 	return err
 }
 
-func (m *memberClient) state(ctx context.Context, address string, pool fleet.PoolID, id job.ID) (job.State, bool, error) {
+func (m *memberClient) status(ctx context.Context, address string, pool fleet.PoolID, id job.ID) (owner.JobStatus, bool, error) {
 	response, err := m.call(ctx, http.MethodGet, fmt.Sprintf("%s/jobs/%s", poolPath(address, pool), id), nil)
-	return job.State(response.State), response.Found, err
+	return owner.JobStatus{State: job.State(response.State), Cause: response.Cause}, response.Found, err
 }
 
 func (m *memberClient) cancel(ctx context.Context, address string, pool fleet.PoolID, id job.ID) (bool, error) {
--- a/hosted/operator.go
+++ b/hosted/operator.go
@@ -21,6 +21,7 @@
 // settings contain none, all of them are refused.
 func (p *Process) operatorRoutes(mux *http.ServeMux) {
 	mux.HandleFunc("GET /v1/workers", p.requireCredential(p.serveWorkers))
+	mux.HandleFunc("GET /v1/suspects", p.requireCredential(p.serveSuspects))
 	mux.HandleFunc("GET /v1/waves", p.requireCredential(p.serveOperatorWaves))
 }
 
@@ -50,28 +51,53 @@
 // serveWorkers lists the workers of all pools, as reported by the pools' owners. Pools whose owner
 // doesn't respond are listed as missing.
 func (p *Process) serveWorkers(w http.ResponseWriter, r *http.Request) {
+	out := operator.WireWorkers{Workers: []operator.WireWorker{}}
+	missing, ok := p.visitPools(w, r, func(id fleet.PoolID, dump *owner.Dump) {
+		for _, worker := range dump.Schedule.Workers {
+			out.Workers = append(out.Workers, operator.WireWorker{
+				ID: string(worker.ID), Pool: string(id), State: workerState(worker.Listed, worker.Reachable, worker.Draining, worker.Cordoned),
+				Tasks: worker.Tasks, CPUUsed: worker.CPU, CPUCapacity: worker.CPUOf,
+			})
+		}
+	})
+	if out.Missing = missing; ok {
+		writeJSON(w, out)
+	}
+}
+
+// serveSuspects lists the tasks of all pools that are suspected to crash their workers, as reported by
+// the pools' owners. Pools whose owner doesn't respond are listed as missing.
+func (p *Process) serveSuspects(w http.ResponseWriter, r *http.Request) {
+	out := operator.WireSuspects{Suspects: []operator.WireSuspect{}}
+	missing, ok := p.visitPools(w, r, func(id fleet.PoolID, dump *owner.Dump) {
+		for _, s := range dump.Schedule.Suspects {
+			out.Suspects = append(out.Suspects, operator.WireSuspect{Task: s.Task, Pool: string(id), Start: s.Start, State: s.State, Crashes: s.Crashes})
+		}
+	})
+	if out.Missing = missing; ok {
+		writeJSON(w, out)
+	}
+}
+
+// visitPools calls visit with the state of each pool, and returns the pools whose owner doesn't respond.
+// Without a configuration it writes a problem to w and returns false.
+func (p *Process) visitPools(w http.ResponseWriter, r *http.Request, visit func(fleet.PoolID, *owner.Dump)) (missing []string, ok bool) {
 	ctx, cancel := withDeadline(r.Context(), 0)
 	defer cancel()
-	out := operator.WireWorkers{Workers: []operator.WireWorker{}}
 	catalog := p.catalog.Load()
 	if catalog == nil {
 		operator.WriteProblem(w, operator.Problem{Status: http.StatusServiceUnavailable, Title: "no configuration yet"})
-		return
+		return nil, false
 	}
 	for _, id := range sortedPools(catalog) {
 		dump, err := p.poolDump(ctx, id)
 		if err != nil {
-			out.Missing = append(out.Missing, fmt.Sprintf("%s: %v", id, err))
+			missing = append(missing, fmt.Sprintf("%s: %v", id, err))
 			continue
 		}
-		for _, worker := range dump.Schedule.Workers {
-			out.Workers = append(out.Workers, operator.WireWorker{
-				ID: string(worker.ID), Pool: string(id), State: workerState(worker.Listed, worker.Reachable, worker.Draining, worker.Cordoned),
-				Tasks: worker.Tasks, CPUUsed: worker.CPU, CPUCapacity: worker.CPUOf,
-			})
-		}
+		visit(id, dump)
 	}
-	writeJSON(w, out)
+	return missing, true
 }
 
 // sortedPools returns the ids of all pools but the spare one, in order.
--- a/hosted/process_test.go
+++ b/hosted/process_test.go
@@ -1,6 +1,7 @@
 package hosted_test
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -278,6 +279,8 @@
 		_, answer := c.call(c.otherMember(), http.MethodGet, jobID(1), "")
 		return answer["state"] == "failed" || c.crashes() > 5
 	})
+	_, answer := c.call(c.otherMember(), http.MethodGet, jobID(1), "")
+	must.StrContains(t, fmt.Sprint(answer["detail"]), "task "+jobID(1)+".0.0.0 crashed")
 	must.LessEq(t, 5, c.crashes(), must.Sprint("a task under which three workers have crashed may crash two more"))
 	c.waitComplete(c.otherMember(), jobID(2), 10*time.Second)
 }
--- a/job/answer.go
+++ b/job/answer.go
@@ -27,5 +27,5 @@
 	State      State        // of the job, if it was found
 	Pending    int          // number of the queue's jobs of which no task has started
 	RetryAfter clock.Millis // suggested delay before a retry; 0 for none
-	Detail     string       // explanation for the caller
+	Detail     string       // explanation for the caller; of the state Failed, why the job has failed
 }
--- a/operator/jobs.go
+++ b/operator/jobs.go
@@ -8,6 +8,22 @@
 	"citronknot/caller"
 )
 
+// WireSuspects is the response body of GET /v1/suspects.
+type WireSuspects struct {
+	Suspects []WireSuspect `json:"suspects"`
+	Missing  []string      `json:"missing,omitempty"` // pools whose owners did not respond, and why
+}
+
+// WireSuspect is an entry of GET /v1/suspects: a task, or the first task of a gang, that is suspected
+// to crash its workers.
+type WireSuspect struct {
+	Task    string `json:"task"`
+	Pool    string `json:"pool"`
+	Start   string `json:"start"`   // how it starts next: apart or alone
+	State   string `json:"state"`   // of the task
+	Crashes string `json:"crashes"` // the workers that crashed under it
+}
+
 // WireWorkers is the response body of GET /v1/workers.
 type WireWorkers struct {
 	Workers []WireWorker `json:"workers"`
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -12,6 +12,8 @@
 	PlanTime   prometheus.Histogram   // seconds of one scheduling pass
 	CommitTime prometheus.Histogram   // seconds until a commit was durable
 	CommitRows prometheus.Counter     // rows written
+	// Suspects is the number of tasks of each pool that are suspected to crash their workers.
+	Suspects *prometheus.GaugeVec
 	// Dispatchers is the number of dispatchers of each pool that the process owns.
 	Dispatchers *prometheus.GaugeVec
 }
@@ -40,6 +42,9 @@
 		CommitRows: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "citronknot_commit_rows_total", Help: "Rows written by owners of pools.",
 		}),
+		Suspects: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "citronknot_pool_suspects", Help: "Tasks that are suspected to crash their workers.",
+		}, []string{"pool"}),
 		Dispatchers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "citronknot_pool_dispatchers", Help: "Members that call workers for the owner of a pool.",
 		}, []string{"pool"}),
@@ -48,5 +53,5 @@
 
 // Collectors returns all metrics for registration.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.Orders, m.Events, m.RunsLost, m.OrderTime, m.PlanTime, m.CommitTime, m.CommitRows, m.Dispatchers}
+	return []prometheus.Collector{m.Orders, m.Events, m.RunsLost, m.OrderTime, m.PlanTime, m.CommitTime, m.CommitRows, m.Suspects, m.Dispatchers}
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -162,6 +162,7 @@
 		wake(d.wakeup)
 	}
 	o.Metrics.Dispatchers.DeleteLabelValues(string(o.Pool))
+	o.Metrics.Suspects.DeleteLabelValues(string(o.Pool))
 	for _, s := range o.submissions {
 		s.fail(err)
 	}
@@ -225,6 +226,7 @@
 		o.wg.Go(func() { o.sendOrder(ctx, s, order) })
 	}
 	dirty := o.pool.Dirty()
+	o.Metrics.Suspects.WithLabelValues(string(o.Pool)).Set(float64(o.pool.Suspects()))
 	o.mu.Unlock()
 	o.Metrics.PlanTime.Observe(time.Since(started).Seconds())
 	if dirty {
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -200,20 +200,29 @@
 	return &RefusedError{Reason: "the owner can't confirm its tenure", RetryAfter: retryAfterNoOwner}
 }
 
-// State returns the durable state of a job. found is false if there is no such job. State fails
+// JobStatus is the durable state of a job, and why it has failed if it has.
+type JobStatus struct {
+	State job.State
+	Cause string
+}
+
+// Status returns the durable state of a job. found is false if there is no such job. Status fails
 // with *RefusedError if the pool is not loaded, the owner has stopped, or the job is not found and
 // the owner lease can't be confirmed.
-func (o *Owner) State(ctx context.Context, id job.ID) (state job.State, found bool, err error) {
+func (o *Owner) Status(ctx context.Context, id job.ID) (status JobStatus, found bool, err error) {
 	o.mu.Lock()
 	if !o.loaded || o.stopped {
 		o.mu.Unlock()
-		return "", false, &RefusedError{Reason: "the pool changes its owner", RetryAfter: retryAfterNoOwner}
+		return JobStatus{}, false, &RefusedError{Reason: "the pool changes its owner", RetryAfter: retryAfterNoOwner}
 	}
 	if j := o.pool.Job(id); j != nil {
-		state = j.State()
+		status.State = j.State()
+		if status.State == job.Failed {
+			status.Cause = j.Cause()
+		}
 		o.mu.Unlock()
-		return state, true, nil
+		return status, true, nil
 	}
 	o.mu.Unlock()
-	return "", false, o.confirmOwnership(ctx)
+	return JobStatus{}, false, o.confirmOwnership(ctx)
 }
--- a/schedule/dump.go
+++ b/schedule/dump.go
@@ -13,6 +13,16 @@
 	Waiting int                   `json:"tasks_waiting"`
 	Workers []WorkerDump          `json:"workers"`
 	Queues  map[fleet.QueueID]int `json:"jobs_pending"`
+	// Suspects are the tasks that are suspected to crash their workers.
+	Suspects []SuspectDump `json:"suspects"`
+}
+
+// SuspectDump is a snapshot of a suspected task. Of a gang, it names the first task.
+type SuspectDump struct {
+	Task    string `json:"task"`
+	Start   string `json:"start"` // how it starts next: apart or alone
+	State   string `json:"state"`
+	Crashes string `json:"crashes"` // the workers that crashed under it
 }
 
 // WorkerDump is a snapshot of the state of a worker. CPU is in millicores.
@@ -35,6 +45,13 @@
 	for _, j := range p.jobs {
 		d.Jobs[j.durableState]++
 	}
+	for _, u := range p.suspects {
+		if u.suspicion != unsuspected && !u.step.job.state.Final() {
+			d.Suspects = append(d.Suspects, SuspectDump{
+				Task: u.ref().String(), Start: u.suspicion.String(), State: u.state.String(), Crashes: describeCrashes(u.crashes()),
+			})
+		}
+	}
 	for _, w := range p.sortedWorkers {
 		d.Workers = append(d.Workers, WorkerDump{
 			ID: w.ID, Answered: w.responded, Reachable: w.reachable, Draining: w.Draining, Cordoned: w.cordoned, Listed: !w.unlisted,
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -32,7 +32,6 @@
 	criticalPath         clock.Millis // sum of the estimates on the longest path through the steps
 	dirty                bool
 	trial                *trial // of its suspected tasks; nil if there is none
-	cause                string // of a final state
 }
 
 // occurrence is one execution of all steps of a job.
@@ -45,6 +44,14 @@
 // State returns the job's durable state, which is the one that callers see.
 func (j *Job) State() job.State { return j.durableState }
 
+// Cause returns why the job has its final state, if that is durable, or an empty string.
+func (j *Job) Cause() string {
+	if !j.durableState.Final() {
+		return ""
+	}
+	return j.progress.Cause
+}
+
 // isPending reports whether no task of the job has started and one may still start.
 func (j *Job) isPending() bool { return !j.started && !j.state.Final() }
 
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -233,7 +233,7 @@
 	if j.isPending() {
 		p.removePending(j)
 	}
-	j.state, j.cause = to, cause
+	j.state = to
 	j.progress.State, j.progress.Cause = to, cause
 	p.markDirty(j)
 	j.eachTask(func(t *task) {
--- a/schedule/suspicion.go
+++ b/schedule/suspicion.go
@@ -62,6 +62,9 @@
 	startAlone
 )
 
+// String returns how a task with the suspicion starts, for log lines and dumps.
+func (s suspicion) String() string { return [...]string{"normal", "apart", "alone"}[s] }
+
 // unit returns the task that stands for t in the record of crashes: the first task of a gang, whose
 // tasks start and end together, and otherwise t itself.
 func (t *task) unit() *task {
@@ -179,7 +182,7 @@
 	if u.suspicion != unsuspected {
 		p.emit(Event{
 			Kind: "task_suspected", Task: u.ref(), Run: l.crash.Run, Worker: l.crash.Worker,
-			Detail: fmt.Sprintf("%d workers crashed under it: %s", len(crashes), describeCrashes(crashes)),
+			Detail: fmt.Sprintf("next start %s; crashed workers: %s", u.suspicion, describeCrashes(crashes)),
 		})
 	}
 	if blamed(crashes) {
@@ -343,3 +346,6 @@
 		return true
 	})
 }
+
+// Suspects returns the number of tasks that are suspected to crash their workers. A gang counts once.
+func (p *Pool) Suspects() int { return len(p.suspects) }
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -20,6 +20,11 @@
 	exhausted // has failed as often as the queue allows
 )
 
+// String returns the state's name in dumps.
+func (s taskState) String() string {
+	return [...]string{"blocked", "unconfirmed", "waiting", "recording", "starting", "running", "stopping", "done", "exhausted"}[s]
+}
+
 // task is one task of a step.
 type task struct {
 	step          *stepRun
--- a/terminal/jobs.go
+++ b/terminal/jobs.go
@@ -71,7 +71,11 @@
 	if err != nil {
 		return err
 	}
-	return a.print(w, fmt.Sprintf("job %s of queue %s is %s", w.ID, w.Queue, w.State))
+	text := fmt.Sprintf("job %s of queue %s is %s", w.ID, w.Queue, w.State)
+	if w.Cause != "" {
+		text += ": " + w.Cause
+	}
+	return a.print(w, text)
 }
 
 type jobsWaitingCommand struct {
@@ -104,16 +108,34 @@
 		for _, worker := range w.Workers {
 			rows = append(rows, []any{worker.ID, worker.Pool, worker.State, worker.Tasks, formatCores(worker.CPUUsed), formatCores(worker.CPUCapacity)})
 		}
-		if len(w.Missing) > 0 {
-			rows = append(rows, []any{"missing: " + strings.Join(w.Missing, "; ")})
-		}
-		return rows
+		return appendMissing(rows, w.Missing)
 	})
 }
 
 // formatCores returns thousandths of a core as a number of cores.
 func formatCores(thousandths int64) string { return fmt.Sprintf("%.1f", float64(thousandths)/1000) }
 
+type suspectsCommand struct{ app *app }
+
+// Execute lists the tasks that are suspected to crash their workers.
+func (c *suspectsCommand) Execute([]string) error {
+	return printQuery(c.app, "/v1/suspects", func(w operator.WireSuspects) [][]any {
+		rows := [][]any{{"TASK", "POOL", "NEXT START", "STATE", "CRASHED WORKERS"}}
+		for _, s := range w.Suspects {
+			rows = append(rows, []any{s.Task, s.Pool, s.Start, s.State, s.Crashes})
+		}
+		return appendMissing(rows, w.Missing)
+	})
+}
+
+// appendMissing adds a row that names the pools whose owners did not respond, if there are any.
+func appendMissing(rows [][]any, missing []string) [][]any {
+	if len(missing) > 0 {
+		rows = append(rows, []any{"missing: " + strings.Join(missing, "; ")})
+	}
+	return rows
+}
+
 type wavesCommand struct{ app *app }
 
 // Execute lists the maintenance waves and their progress.
