Skip rows that can't be decoded instead of giving the pool up

A job, a job's progress or the list of known workers that can't be decoded ended the owner of the pool, and the next one, and so on: no job of the pool was accepted. A record of a wave did the same to the fleet leader. Change: a job with such a row is left out, named in an error line and counted (row_unreadable), and calls on it say that its rows can't be read: it was accepted, so that 410 would be untrue. Without the known workers, recovered tasks wait until all leases of the former owner have expired. A record of a wave is dropped. The stand-in for the store enforces the platform's limits of a transaction.

--- a/hosted/fleet.go
+++ b/hosted/fleet.go
@@ -117,12 +117,13 @@
 }
 
 // loadDoneMachines reads the done machines of each wave. It retries a failed read as long as the
-// lease can be renewed. It fails if a row can't be decoded.
+// lease can be renewed. Rows that can't be decoded are skipped: the maintenance of machines whose
+// record is lost is ordered again, which has no effect on machines that the platform counts as done.
 func (l *fleetLeader) loadDoneMachines(ctx context.Context) (map[int][]machine.ID, error) {
 	for {
 		rows, err := l.process.table.Read(ctx, rowstore.Query{Scans: []rowstore.Scan{{Table: wavesTable, Partition: string(fleetPartition)}}})
 		if err == nil {
-			return decodeDoneMachines(rows)
+			return l.process.decodeDoneMachines(rows), nil
 		}
 		l.process.Log.Warn("hosted: reading the done machines of the waves failed", "err", err)
 		if err := l.lease.Commit(ctx, nil); err != nil {
@@ -131,20 +132,21 @@
 	}
 }
 
-func decodeDoneMachines(rows []rowstore.Row) (map[int][]machine.ID, error) {
+func (p *Process) decodeDoneMachines(rows []rowstore.Row) map[int][]machine.ID {
 	done := map[int][]machine.ID{}
 	for _, r := range rows {
 		number, err := strconv.Atoi(r.Key)
-		if err != nil {
-			return nil, eris.Wrapf(err, "hosted: number of wave %q", r.Key)
-		}
 		var ids []machine.ID
-		if err := json.Unmarshal(r.Value, &ids); err != nil {
-			return nil, eris.Wrapf(err, "hosted: decode done machines of wave %q", r.Key)
+		if err == nil {
+			err = json.Unmarshal(r.Value, &ids)
+		}
+		if err != nil {
+			p.Log.Error("hosted: skipped an invalid record of a wave", "key", r.Key, "err", err)
+			continue
 		}
 		done[number] = ids
 	}
-	return done, nil
+	return done
 }
 
 // renew commits the progress of waves. Without progress it renews the lease when that is due.
--- a/hosted/process_test.go
+++ b/hosted/process_test.go
@@ -324,3 +324,29 @@
 	}
 	must.LessEq(t, 1, beside, must.Sprint("two tasks of half a core fit"))
 }
+
+// Guards against a row that can't be decoded and keeps each member that takes the pool over, or the
+// fleet, from serving: here a job, the progress of a job, the known workers and a wave.
+func TestUndecodableRowCostsOnlyItsJob(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 0, 1)
+	c.store.PutRaw("jobs", "sorting", jobID(1), []byte(`{"id":`))
+	c.store.Put("jobs", "sorting", jobID(2), map[string]any{"id": jobID(2), "queue": "sort", "steps": []map[string]int{{"count": 1}}})
+	c.store.PutRaw("progress", "sorting", jobID(2), []byte(`{"done":["0.0"]}`))
+	c.store.PutRaw("workers", "sorting", "known", []byte("[]"))
+	c.store.PutRaw("waves", "~fleet", "1", []byte("["))
+	c.members = append(c.members, c.startWithUnknownCPU("member-0"))
+	m := c.members[0]
+	c.submit(m, jobID(3), jobBody(2, 50))
+	c.waitComplete(m, jobID(3), 5*time.Second)
+	for n := range 2 {
+		status, answer := c.call(m, http.MethodGet, jobID(n+1), "")
+		must.Eq(t, http.StatusServiceUnavailable, status, must.Sprintf("job %d was accepted, and its state is not known: %v", n+1, answer))
+		must.StrContains(t, fmt.Sprint(answer["detail"]), "can't be read")
+	}
+	c.store.Put("op", "", "wave/2", map[string]any{"wave": 2, "machines": []string{"m0"}, "durationS": 10, "cap": 1})
+	c.waitFor(20*time.Second, "the wave is complete", func() bool {
+		text, _ := c.store.Get("status", "", "wave/2")
+		return string(text) == `{"state":"complete"}`
+	})
+}
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -3,11 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"citronknot/clock"
 	"citronknot/fleet"
 	"citronknot/job"
@@ -40,7 +39,8 @@
 }
 
 // load reads the jobs, progress and known workers that earlier owners stored, and starts the
-// recovery. It fails if ctx ends, the owner lease is lost or a row can't be decoded.
+// recovery. It fails if ctx ends or the owner lease is lost. A row that can't be decoded costs only
+// its job: if it kept the owner from serving, it would do so at each member that takes the pool over.
 func (o *Owner) load(ctx context.Context) error {
 	started := o.Clock.Now()
 	rows, err := o.readRows(ctx)
@@ -60,25 +60,32 @@
 		case progressTable:
 			p, err := job.DecodeProgress(r.Value)
 			if err != nil {
-				return eris.Wrapf(err, "owner: decode progress of job %s", r.Key)
+				o.unreadable[job.ID(r.Key)] = true
+				o.logUnreadable(r, err)
 			}
 			progress[job.ID(r.Key)] = p
 		case workersTable:
-			if o.knownWorkers, err = decodeKnownWorkers(r.Value); err != nil {
-				return err
+			known, err := decodeKnownWorkers(r.Value)
+			if err != nil {
+				o.unconfirmed[unknownWorkers] = true
+				o.logUnreadable(r, err)
 			}
+			maps.Copy(o.knownWorkers, known)
 		}
 	}
 	jobCount := 0
 	for _, r := range rows {
-		if r.Table != jobsTable {
+		id := job.ID(r.Key)
+		if r.Table != jobsTable || o.unreadable[id] {
 			continue
 		}
 		j, err := job.Decode(r.Value)
 		if err != nil {
-			return eris.Wrapf(err, "owner: decode job %s", r.Key)
+			o.unreadable[id] = true
+			o.logUnreadable(r, err)
+			continue
 		}
-		p := progress[j.ID]
+		p := progress[id]
 		if p == nil {
 			p = &job.Progress{}
 		}
@@ -93,6 +100,23 @@
 	return nil
 }
 
+// unknownWorkers stands in Owner.unconfirmed for the workers that the former owner used, if their row
+// can't be decoded. They are never confirmed, so that recovered tasks wait until all leases of the
+// former owner have expired.
+const unknownWorkers fleet.InstanceID = ""
+
+// logUnreadable logs and counts a row that can't be decoded.
+func (o *Owner) logUnreadable(r rowstore.Row, err error) {
+	o.Metrics.Events.WithLabelValues("row_unreadable").Inc()
+	o.Log.Error("owner: skipped a row that can't be decoded", "pool", o.Pool, "fence", o.Lease.Fence(), "table", r.Table, "key", r.Key, "err", err)
+}
+
+// errUnreadable returns the error of a call on a job whose rows can't be decoded. The job was
+// accepted, and its state is unknown.
+func errUnreadable(id job.ID) error {
+	return &RefusedError{Reason: fmt.Sprintf("the stored rows of job %s can't be read", id), Final: true}
+}
+
 // followKnownWorkers starts a session with each worker on which an earlier owner may have left
 // runs, and sets the time from which workers that never respond have none of these. A former
 // owner that did not release the pool may send orders until its authority ends, and then its
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -70,6 +70,7 @@
 	formerLeasesEnd   clock.Millis // when all leases given by the former owner have expired
 	stopped           bool
 
+	unreadable    map[job.ID]bool        // jobs with rows that can't be decoded
 	submissions   map[job.ID]*submission // not durable yet
 	uncommitted   []*submission          // the submissions that no commit contains yet
 	removedJobs   []job.ID               // finished jobs whose rows are to be deleted
@@ -96,7 +97,7 @@
 		Config: c, listedWorkers: map[fleet.InstanceID]schedule.Worker{}, addresses: map[fleet.InstanceID]string{},
 		sessions: map[fleet.InstanceID]*session{}, knownWorkers: map[fleet.InstanceID]knownWorker{},
 		savedKnownWorkers: map[fleet.InstanceID]knownWorker{}, endedIncarnations: map[fleet.InstanceID]clock.Millis{}, unconfirmed: map[fleet.InstanceID]bool{},
-		submissions: map[job.ID]*submission{}, committed: make(chan struct{}), dispatchers: map[fleet.MemberID]*dispatcherRecord{}, dispatcherLeft: make(chan struct{}, 1),
+		unreadable: map[job.ID]bool{}, submissions: map[job.ID]*submission{}, committed: make(chan struct{}), dispatchers: map[fleet.MemberID]*dispatcherRecord{}, dispatcherLeft: make(chan struct{}, 1),
 		planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
 	}
 	return o
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -88,7 +88,7 @@
 	switch {
 	case !o.loaded || o.stopped:
 		return nil, &RefusedError{Reason: "the pool changes its owner", RetryAfter: retryAfterNoOwner}
-	case o.pool.Job(j.ID) != nil:
+	case o.pool.Job(j.ID) != nil || o.unreadable[j.ID]:
 		return nil, nil
 	case o.submissions[j.ID] != nil:
 		return o.submissions[j.ID], nil
@@ -143,6 +143,10 @@
 		o.mu.Unlock()
 		return false, &RefusedError{Reason: "the pool changes its owner", RetryAfter: retryAfterNoOwner}
 	}
+	if o.unreadable[id] {
+		o.mu.Unlock()
+		return false, errUnreadable(id)
+	}
 	if pending := o.submissions[id]; pending != nil {
 		o.mu.Unlock()
 		select {
@@ -223,6 +227,10 @@
 		o.mu.Unlock()
 		return status, true, nil
 	}
+	if o.unreadable[id] {
+		o.mu.Unlock()
+		return JobStatus{}, false, errUnreadable(id)
+	}
 	o.mu.Unlock()
 	return JobStatus{}, false, o.confirmOwnership(ctx)
 }
--- a/standin/deployment/store.go
+++ b/standin/deployment/store.go
@@ -166,13 +166,25 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-// serveTransaction applies a transaction. Under the fault LoseResponseEvery it sends no response.
+// Limits of a transaction, as the platform has them.
+const (
+	maxRowBytes   = 65536
+	maxCallBytes  = 1 << 20
+	maxCallFields = 100 // expected, written and removed rows
+)
+
+// serveTransaction applies a transaction. It refuses one beyond the limits with 400. Under the fault LoseResponseEvery it sends no response.
 func (s *Store) serveTransaction(w http.ResponseWriter, r *http.Request, f StoreFaults) {
 	var t transactionBody
-	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCallBytes)).Decode(&t); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	tooLarge := func(row Row) bool { return len(row.Value) > maxRowBytes }
+	if len(t.Expected)+len(t.Writes)+len(t.Remove) > maxCallFields || slices.ContainsFunc(t.Writes, tooLarge) {
+		http.Error(w, "the transaction is too large", http.StatusBadRequest)
+		return
+	}
 	s.mu.Lock()
 	s.writeCount++
 	lose := f.LoseResponseEvery > 0 && s.writeCount%f.LoseResponseEvery == 0
