Keep rows that the store does not take out of commits

A commit that the store refuses for good was sent again until the owner lease ran out, and the next owner did the same: a job of 64 steps with long labels (90 KB stored; the platform takes 65,536 bytes a row) was answered with 504, sent again by its caller to the next member, and no other job of the pool was accepted meanwhile. Progress can grow as large: each failed run of a task takes some 20 bytes, so that a job of 4,000 tasks that each failed once was enough. A commit with many large rows exceeded the store's limit of 1 MB. Change: a job that takes more than a row is refused as invalid, with its size and the limit; a job whose progress does fails, and its cause says so; all rows of a commit count towards its 0.8 MB. The limit is the platform's rowBytes.

--- a/hosted/calls.go
+++ b/hosted/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -182,6 +183,9 @@
 // submitUnlessPresent submits a job to its queue's pool, unless a former pool of the queue already
 // has the job or its owner does not say whether it has. It then returns that pool's answer.
 func (p *Process) submitUnlessPresent(ctx context.Context, ref jobRef, j *job.Job) job.Answer {
+	if err := p.checkStoredSize(j); err != nil {
+		return job.Answer{Outcome: job.OutcomeInvalid, Detail: err.Error()}
+	}
 	for _, pool := range p.formerPoolsOf(ref) {
 		if answer := p.perform(ctx, p.stateCall(pool, ref.id)); answer.Outcome != job.OutcomeNoSuchJob {
 			return answer
@@ -197,6 +201,25 @@
 	})
 }
 
+// checkStoredSize returns a *job.FieldError if the store does not take the row of a job.
+func (p *Process) checkStoredSize(j *job.Job) error {
+	limit := p.Settings.MaxRowBytes
+	if limit == 0 {
+		limit = owner.DefaultMaxRowBytes
+	}
+	encoded, err := j.Encode()
+	if err != nil {
+		return err
+	}
+	if len(encoded)+acceptedTimeBytes > limit {
+		return &job.FieldError{Field: "job", Value: fmt.Sprintf("%d bytes as stored", len(encoded)), Accepted: fmt.Sprintf("at most %d bytes", limit-acceptedTimeBytes)}
+	}
+	return nil
+}
+
+// acceptedTimeBytes is what the time of acceptance adds to the stored job.
+const acceptedTimeBytes = 40
+
 // formerPoolsOf returns the pools that a queue was assigned to before, as far as this member has
 // recorded them.
 func (p *Process) formerPoolsOf(ref jobRef) []fleet.PoolID {
--- a/hosted/process_test.go
+++ b/hosted/process_test.go
@@ -350,3 +350,18 @@
 		return string(text) == `{"state":"complete"}`
 	})
 }
+
+// Guards against a job that the store does not take, which keeps all other commits of its pool from
+// succeeding at one member after the other.
+func TestOversizedJobCostsOnlyItself(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, 1)
+	m := c.otherMember()
+	step := fmt.Sprintf(`{"count":1,"cpu":10,"requires":%q}`, strings.Repeat("x", 1500))
+	body := `{"spec":"1","steps":[` + strings.TrimSuffix(strings.Repeat(step+",", 60), ",") + `]}`
+	status, answer := c.call(m, http.MethodPost, jobID(1), body)
+	must.Eq(t, http.StatusBadRequest, status)
+	must.StrContains(t, fmt.Sprint(answer["detail"]), "accepted")
+	c.submit(m, jobID(2), jobBody(1, 50))
+	c.waitComplete(m, jobID(2), 5*time.Second)
+}
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -23,7 +23,8 @@
 )
 
 // Limits of one commit. The store accepts 100 rows and 1 MB, which include the row of the owner
-// lease. Submissions and the removal of jobs leave half of the rows to progress.
+// lease. Submissions and the removal of jobs leave half of the rows to progress. The last row may
+// exceed maxCommitBytes.
 const (
 	maxCommitRows  = 95
 	maxCommitBytes = 800_000
@@ -166,6 +167,18 @@
 	changes       []schedule.Change
 	knownWorkers  map[fleet.InstanceID]knownWorker // nil if they have not changed
 	throughChange uint64                           // all changes up to this one are durable once the batch is
+	bytes         int                              // of the writes, as the store's calls carry them
+}
+
+// add adds a write to the batch.
+func (b *commitBatch) add(w rowstore.Write) {
+	b.writes = append(b.writes, w)
+	b.bytes += len(w.Value) * 4 / 3 // the store's calls carry values in base64
+}
+
+// hasRoom reports whether the batch takes another write, if it may have the given number of rows.
+func (b *commitBatch) hasRoom(rows int) bool {
+	return len(b.writes) < rows && b.bytes < maxCommitBytes
 }
 
 // runCommitter commits changes and renews the owner lease until ctx ends or the lease is lost.
@@ -234,14 +247,12 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	batch := &commitBatch{throughChange: o.lastChange}
-	bytes := 0
-	for len(o.uncommitted) > 0 && len(batch.writes) < maxCommitRows/2 && bytes < maxCommitBytes {
+	for len(o.uncommitted) > 0 && batch.hasRoom(maxCommitRows/2) {
 		s := o.uncommitted[0]
 		o.uncommitted = o.uncommitted[1:]
 		s.committing = true
-		bytes += len(s.encoded) * 4 / 3 // the store's calls carry values in base64
 		batch.submissions = append(batch.submissions, s)
-		batch.writes = append(batch.writes, rowstore.Write{Ref: o.ref(jobsTable, string(s.job.ID)), Value: s.encoded})
+		batch.add(rowstore.Write{Ref: o.ref(jobsTable, string(s.job.ID)), Value: s.encoded})
 	}
 	if o.knownWorkersDirty {
 		knownRow, err := o.knownWorkersRow(o.knownWorkers)
@@ -249,28 +260,46 @@
 			return nil, err
 		}
 		batch.knownWorkers, o.knownWorkersDirty = maps.Clone(o.knownWorkers), false
-		batch.writes = append(batch.writes, knownRow)
+		batch.add(knownRow)
 	}
-	for len(o.removedJobs) > 0 && len(batch.writes) < maxCommitRows/2 {
+	for len(o.removedJobs) > 0 && batch.hasRoom(maxCommitRows/2) {
 		id := string(o.removedJobs[0])
 		o.removedJobs = o.removedJobs[1:]
-		batch.writes = append(batch.writes, rowstore.Write{Ref: o.ref(jobsTable, id), Delete: true},
-			rowstore.Write{Ref: o.ref(progressTable, id), Delete: true})
+		batch.add(rowstore.Write{Ref: o.ref(jobsTable, id), Delete: true})
+		batch.add(rowstore.Write{Ref: o.ref(progressTable, id), Delete: true})
+	}
+	if err := o.takeChanges(batch); err != nil {
+		return nil, err
 	}
-	batch.changes = o.pool.Changes(o.Clock.Wall(), maxCommitRows-len(batch.writes))
 	if o.pool.Dirty() {
 		batch.throughChange = o.durableChange // not all changes fit, so count none of the newer ended runs as durable
 		wake(o.commitWake)
 	}
-	for i := range batch.changes {
-		value, err := batch.changes[i].Progress.Encode()
+	o.commitStarted = o.Clock.Now()
+	return batch, nil
+}
+
+// takeChanges adds the changed progress of jobs to a batch. A job whose progress is larger than the
+// store takes fails: its row would keep this commit, and those of each later owner, from succeeding.
+func (o *Owner) takeChanges(batch *commitBatch) error {
+	for batch.hasRoom(maxCommitRows) {
+		changes := o.pool.Changes(o.Clock.Wall(), 1)
+		if len(changes) == 0 {
+			return nil
+		}
+		change := changes[0]
+		value, err := change.Progress.Encode()
 		if err != nil {
-			return nil, err
+			return err
+		}
+		if len(value) > o.MaxRowBytes {
+			o.pool.Fail(change.Job, fmt.Sprintf("its progress takes %d bytes, and the store takes at most %d", len(value), o.MaxRowBytes), o.Clock.Now())
+			continue
 		}
-		batch.writes = append(batch.writes, rowstore.Write{Ref: o.ref(progressTable, string(batch.changes[i].Job)), Value: value})
+		batch.changes = append(batch.changes, change)
+		batch.add(rowstore.Write{Ref: o.ref(progressTable, string(change.Job)), Value: value})
 	}
-	o.commitStarted = o.Clock.Now()
-	return batch, nil
+	return nil
 }
 
 // applyCommitted updates the pool after a batch has become durable, and wakes those who wait for
--- /dev/null
+++ b/owner/commit_test.go
@@ -0,0 +1,106 @@
+package owner_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"citronknot/clock"
+	"citronknot/fleet"
+	"citronknot/job"
+	"citronknot/owner"
+	"citronknot/rowstore"
+	"citronknot/schedule"
+	"citronknot/worker"
+)
+
+// endingWorker is a worker on which runs end after 10 ms: those of one job fail, and the others are done.
+type endingWorker struct {
+	failing job.ID
+
+	mu     sync.Mutex
+	ended  []worker.EndedRun
+	starts int64
+}
+
+func (w *endingWorker) calls() worker.Calls {
+	return worker.Calls{
+		Poll: func(_ context.Context, _ worker.Target, o worker.PollRequest) (worker.PollResponse, error) {
+			time.Sleep(10 * time.Millisecond)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.ended = slices.DeleteFunc(w.ended, func(e worker.EndedRun) bool { return e.Number <= o.AcknowledgedThrough })
+			return worker.PollResponse{Answer: worker.Answer{Result: worker.Done, Clock: 1}, Ended: slices.Clone(w.ended)}, nil
+		},
+		Start: func(_ context.Context, _ worker.Target, o worker.StartOrder) (worker.Answer, error) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.starts++
+			kind := schedule.EndDone
+			if o.Task.Job == w.failing {
+				kind = schedule.EndFailed
+			}
+			w.ended = append(w.ended, worker.EndedRun{Number: w.starts, EndReport: schedule.EndReport{Task: o.Task, Run: o.Run, Kind: kind}})
+			return worker.Answer{Result: worker.Done}, nil
+		},
+		Stop: func(context.Context, worker.Target, job.Ref, int, uint64) (worker.Answer, error) {
+			return worker.Answer{Result: worker.Done}, nil
+		},
+	}
+}
+
+// Guards against progress that the store does not take: its row kept all commits of the pool from
+// succeeding, at this owner and at each later one.
+func TestOversizedProgressFailsOnlyItsJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const maxRowBytes = 400
+		store := &fakeStore{rows: map[rowstore.Ref]rowstore.Row{}}
+		table := store.table()
+		table.Transact = func(ctx context.Context, tx rowstore.Transaction) ([]fleet.Version, error) {
+			if slices.ContainsFunc(tx.Writes, func(w rowstore.Write) bool { return w.Table == "progress" && len(w.Value) > maxRowBytes }) {
+				return nil, &rowstore.UnavailableError{Op: "transaction", OutcomeUnknown: true, Err: errors.New("status 400")}
+			}
+			return store.transact(ctx, tx)
+		}
+		started := time.Now()
+		testClock := clock.Clock{NowFunc: func() clock.Millis { return clock.MillisOf(time.Since(started)) }}
+		lease := &rowstore.OwnerLease{Table: table, Clock: testClock, Partition: "p", Self: "m", Address: "m:1"}
+		must.NoError(t, lease.Observe(rowstore.Row{}))
+		claimed, err := lease.Claim(t.Context())
+		must.NoError(t, err)
+		must.True(t, claimed)
+		w := &endingWorker{failing: "00000000000000aa"}
+		poolOwner := owner.New(owner.Config{
+			Pool: "p", Lease: lease, Former: rowstore.HolderReleased, Table: table, Clock: testClock, Calls: w.calls(), Log: slog.New(slog.DiscardHandler),
+			Metrics: owner.NewMetrics(), FinalStateRetention: 60_000, MaxRowBytes: maxRowBytes,
+			Policy: func(fleet.QueueID) (schedule.Policy, bool) { return schedule.Policy{Attempts: 100}, true },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- poolOwner.Run(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		poolOwner.SetWorkers([]owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: 1, Capacity: job.Resources{CPU: 1000}}, Address: "a"}})
+		time.Sleep(time.Second)
+		step := job.Step{Count: 50, Needs: job.Resources{CPU: 10}}
+		for _, id := range []job.ID{"00000000000000aa", "00000000000000bb"} {
+			must.NoError(t, poolOwner.Submit(ctx, &job.Job{ID: id, Queue: "q", Steps: []job.Step{step}}))
+		}
+		time.Sleep(20 * time.Second)
+		status, _, err := poolOwner.Status(ctx, "00000000000000aa")
+		must.NoError(t, err)
+		must.Eq(t, job.Failed, status.State)
+		must.StrContains(t, status.Cause, "at most 400")
+		status, _, err = poolOwner.Status(ctx, "00000000000000bb")
+		must.NoError(t, err)
+		must.Eq(t, job.Complete, status.State)
+		cancel()
+		must.True(t, errors.Is(<-done, context.Canceled))
+	})
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -31,6 +31,7 @@
 	FinalStateRetention clock.Millis // how long the state of a finished job stays readable
 	StopTime            clock.Millis // longest time that a worker takes to stop a run
 	PollWait            clock.Millis // longest time that a worker delays its response to a poll; see worker.Config
+	MaxRowBytes         int          // largest value of a row of the table; 0 means DefaultMaxRowBytes
 	// Policy returns the policy of a queue, and false if the queue is not configured.
 	Policy func(fleet.QueueID) (schedule.Policy, bool)
 	// Advise asks the adviser, an external service, which workers may run a step. It is nil if
@@ -41,6 +42,10 @@
 	Limited func(fleet.TeamID) bool
 }
 
+// DefaultMaxRowBytes is the largest value of a row of the table, unless Config.MaxRowBytes says
+// otherwise.
+const DefaultMaxRowBytes = 65536
+
 // maxStarting limits the start orders without a response. An order takes about 0.4 ms of CPU
 // time, so the responses to this many arrive within 110 ms on a machine with 0.12 cores.
 const maxStarting = 32
@@ -93,6 +98,9 @@
 
 // New returns an owner, which serves once Run is called.
 func New(c Config) *Owner {
+	if c.MaxRowBytes == 0 {
+		c.MaxRowBytes = DefaultMaxRowBytes
+	}
 	o := &Owner{
 		Config: c, listedWorkers: map[fleet.InstanceID]schedule.Worker{}, addresses: map[fleet.InstanceID]string{},
 		sessions: map[fleet.InstanceID]*session{}, knownWorkers: map[fleet.InstanceID]knownWorker{},
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -228,6 +228,14 @@
 	return true
 }
 
+// Fail fails a job that can't go on for a cause that lies outside of its tasks, unless its state is
+// final.
+func (p *Pool) Fail(id job.ID, cause string, now clock.Millis) {
+	if j := p.jobs[id]; j != nil && !j.state.Final() {
+		p.finish(j, job.Failed, cause, now)
+	}
+}
+
 // finish gives a job its final state and stops its running tasks.
 func (p *Pool) finish(j *Job, to job.State, cause string, now clock.Millis) {
 	if j.isPending() {
@@ -369,7 +377,7 @@
 	if len(p.dirtyJobs) == 0 || limit <= 0 {
 		return nil
 	}
-	out := make([]Change, 0, len(p.dirtyJobs))
+	out := make([]Change, 0, min(limit, len(p.dirtyJobs)))
 	for id, j := range p.dirtyJobs {
 		if len(out) == limit {
 			break
