Bound the occurrences of a timed job, and store complete ones as ranges

All occurrences of a timed job that were due were created at once: 10,000 of 10,000 tasks (accepted limits; an interval of 0 is accepted) take more memory than any member has, at one owner after the other. And the progress of a timed job named each step of each done occurrence, so that from some 4,600 on the store did not take its row. Change: beside occurrences that are not complete, another one is created while their tasks are at most 10,000 together.

--- a/job/codec.go
+++ b/job/codec.go
@@ -54,7 +54,7 @@
 type wireProgress struct {
 	State    string           `json:"state,omitempty"`
 	Finished int64            `json:"finished_ms,omitempty"`
-	Done     []string         `json:"done,omitempty"`     // OCCURRENCE.STEP.FIRST-LAST
+	Done     []string         `json:"done,omitempty"`     // OCCURRENCE.STEP.FIRST-LAST, or FIRST-LAST for whole occurrences
 	Failures map[string][]int `json:"failures,omitempty"` // run numbers by OCCURRENCE.STEP.INDEX
 
 	Cause   string                 `json:"cause,omitempty"`   // of a final state
@@ -160,7 +160,10 @@
 func (p *Progress) Encode() ([]byte, error) {
 	w := wireProgress{State: string(p.State), Finished: int64(p.Finished), Cause: p.Cause}
 	if !p.State.Final() {
-		w.Done = encodeDone(p.Done)
+		for _, r := range p.Complete {
+			w.Done = append(w.Done, fmt.Sprintf("%d-%d", r.First, r.Last))
+		}
+		w.Done = append(w.Done, encodeDone(p.Done)...)
 		w.Failures = encodeByPosition(p.Failures, func(runs []int) []int { return runs })
 		w.Crashes = encodeByPosition(p.Crashes, encodeCrashes)
 		w.Trials = encodeByPosition(p.Trials, encodeTrial)
@@ -256,14 +259,8 @@
 	}
 	p := &Progress{State: State(w.State), Cause: w.Cause, Finished: clock.Millis(w.Finished), Done: map[Position]bool{}}
 	for _, doneRange := range w.Done {
-		head, last, ok := strings.Cut(doneRange, "-")
-		at, err := decodePosition(head)
-		end, lastErr := strconv.Atoi(last)
-		if !ok || err != nil || lastErr != nil || end-at.Index > MaxTasks {
-			return nil, newFieldError("done", doneRange, "OCCURRENCE.STEP.FIRST-LAST")
-		}
-		for ; at.Index <= end; at.Index++ {
-			p.Done[at] = true
+		if err := p.decodeDone(doneRange); err != nil {
+			return nil, err
 		}
 	}
 	var err error
@@ -279,6 +276,30 @@
 	return p, nil
 }
 
+// decodeDone adds a stored range of done tasks or of complete occurrences.
+func (p *Progress) decodeDone(text string) error {
+	head, last, ok := strings.Cut(text, "-")
+	end, err := strconv.Atoi(last)
+	if !ok || err != nil {
+		return newFieldError("done", text, "OCCURRENCE.STEP.FIRST-LAST or FIRST-LAST")
+	}
+	if first, err := strconv.Atoi(head); err == nil {
+		if first < 0 || end < first || end >= MaxOccurrences {
+			return newFieldError("done", text, fmt.Sprintf("a range of occurrences from 0 to %d", MaxOccurrences-1))
+		}
+		p.Complete = append(p.Complete, OccurrenceRange{First: first, Last: end})
+		return nil
+	}
+	at, err := decodePosition(head)
+	if err != nil || end-at.Index > MaxTasks {
+		return newFieldError("done", text, "OCCURRENCE.STEP.FIRST-LAST or FIRST-LAST")
+	}
+	for ; at.Index <= end; at.Index++ {
+		p.Done[at] = true
+	}
+	return nil
+}
+
 func decodePosition(text string) (Position, error) {
 	var at Position
 	if n, err := fmt.Sscanf(text, "%d.%d.%d", &at.Occurrence, &at.Step, &at.Index); err != nil || n != 3 {
--- a/job/progress.go
+++ b/job/progress.go
@@ -36,14 +36,72 @@
 // of its first task, in all fields but Done. The zero value is the progress of a new job.
 type Progress struct {
 	State    State
-	Cause    string       // why a final state was reached
-	Finished clock.Millis // wall time at which a final state was reached
-	Done     map[Position]bool
+	Cause    string             // why a final state was reached
+	Finished clock.Millis       // wall time at which a final state was reached
+	Done     map[Position]bool  // tasks of occurrences that are not in Complete
+	Complete []OccurrenceRange  // occurrences of which all tasks are done, in order
 	Failures map[Position][]int // numbers of the runs that failed
 	Crashes  map[Position][]Crash
 	Trials   map[Position]Trial
 }
 
+// OccurrenceRange is a range of occurrences of a timed job.
+type OccurrenceRange struct {
+	First, Last int
+}
+
+// CompleteOccurrence records that all tasks of an occurrence are done, in place of what is recorded of
+// each of them.
+func (p *Progress) CompleteOccurrence(occurrence int) {
+	of := func(at Position) bool { return at.Occurrence == occurrence }
+	maps.DeleteFunc(p.Done, func(at Position, _ bool) bool { return of(at) })
+	maps.DeleteFunc(p.Failures, func(at Position, _ []int) bool { return of(at) })
+	maps.DeleteFunc(p.Crashes, func(at Position, _ []Crash) bool { return of(at) })
+	maps.DeleteFunc(p.Trials, func(at Position, _ Trial) bool { return of(at) })
+	i, found := p.findOccurrence(occurrence)
+	if found {
+		return
+	}
+	p.Complete = slices.Insert(p.Complete, i, OccurrenceRange{First: occurrence, Last: occurrence})
+	if i+1 < len(p.Complete) && p.Complete[i+1].First == occurrence+1 {
+		p.Complete[i].Last = p.Complete[i+1].Last
+		p.Complete = slices.Delete(p.Complete, i+1, i+2)
+	}
+	if i > 0 && p.Complete[i-1].Last == occurrence-1 {
+		p.Complete[i-1].Last = p.Complete[i].Last
+		p.Complete = slices.Delete(p.Complete, i, i+1)
+	}
+}
+
+// IsComplete reports whether all tasks of an occurrence are done.
+func (p *Progress) IsComplete(occurrence int) bool {
+	_, found := p.findOccurrence(occurrence)
+	return found
+}
+
+// findOccurrence returns the index of the range that contains an occurrence, or at which it is to be
+// inserted.
+func (p *Progress) findOccurrence(occurrence int) (i int, found bool) {
+	return slices.BinarySearchFunc(p.Complete, occurrence, func(r OccurrenceRange, n int) int {
+		switch {
+		case r.Last < n:
+			return -1
+		case r.First > n:
+			return 1
+		}
+		return 0
+	})
+}
+
+// CompleteCount returns the number of complete occurrences.
+func (p *Progress) CompleteCount() int {
+	n := 0
+	for _, r := range p.Complete {
+		n += r.Last - r.First + 1
+	}
+	return n
+}
+
 // MarkDone records that a task is done.
 func (p *Progress) MarkDone(at Position) {
 	if p.Done == nil {
@@ -68,7 +126,7 @@
 // Clone returns a deep copy of p.
 func (p *Progress) Clone() Progress {
 	c := Progress{
-		State: p.State, Cause: p.Cause, Finished: p.Finished, Done: maps.Clone(p.Done), Failures: maps.Clone(p.Failures),
+		State: p.State, Cause: p.Cause, Finished: p.Finished, Done: maps.Clone(p.Done), Complete: slices.Clone(p.Complete), Failures: maps.Clone(p.Failures),
 		Crashes: maps.Clone(p.Crashes), Trials: maps.Clone(p.Trials),
 	}
 	for at, runs := range c.Failures {
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"slices"
+
 	"citronknot/clock"
 	"citronknot/job"
 )
@@ -18,20 +20,19 @@
 // Job is the scheduling state of a job in the pool.
 type Job struct {
 	*job.Job
-	policy               Policy
-	progress             job.Progress
-	state                job.State // as decided; may not be durable yet
-	durableState         job.State // the last decided state that is durable
-	occurrences          []*occurrence
-	nextOccurrence       int // index of the next occurrence to create
-	completedOccurrences int
-	started              bool
-	recovered            bool
-	acceptedAt           clock.Millis
-	objective            clock.Millis // latest end at which the job still has its full value, on the owner's clock
-	criticalPath         clock.Millis // sum of the estimates on the longest path through the steps
-	dirty                bool
-	trial                *trial // of its suspected tasks; nil if there is none
+	policy         Policy
+	progress       job.Progress
+	state          job.State // as decided; may not be durable yet
+	durableState   job.State // the last decided state that is durable
+	occurrences    []*occurrence
+	nextOccurrence int // index of the next occurrence to create
+	started        bool
+	recovered      bool
+	acceptedAt     clock.Millis
+	objective      clock.Millis // latest end at which the job still has its full value, on the owner's clock
+	criticalPath   clock.Millis // sum of the estimates on the longest path through the steps
+	dirty          bool
+	trial          *trial // of its suspected tasks; nil if there is none
 }
 
 // occurrence is one execution of all steps of a job.
@@ -58,6 +59,29 @@
 // attempts returns the number of failures of one task after which the job fails.
 func (j *Job) attempts() int { return max(1, j.policy.Attempts) }
 
+// maxTimedTasks is the number of tasks of a timed job that exist at once, unless a single occurrence
+// has more.
+const maxTimedTasks = job.MaxTasks
+
+// mayCreateOccurrence reports whether another occurrence of a timed job may exist beside those that
+// are not complete.
+func (j *Job) mayCreateOccurrence() bool {
+	return len(j.occurrences) == 0 || (len(j.occurrences)+1)*j.Tasks() <= maxTimedTasks
+}
+
+// removeCompleteOccurrences removes the occurrences that are complete and occupy no worker. What is
+// durable of them is in the job's progress.
+func (j *Job) removeCompleteOccurrences() {
+	j.occurrences = slices.DeleteFunc(j.occurrences, func(o *occurrence) bool { return o.remainingSteps == 0 && !o.isPlaced() })
+}
+
+// isPlaced reports whether a task of the occurrence occupies a worker.
+func (o *occurrence) isPlaced() bool {
+	return slices.ContainsFunc(o.steps, func(s *stepRun) bool {
+		return slices.ContainsFunc(s.tasks, func(t task) bool { return t.worker != nil })
+	})
+}
+
 // eachStep calls visit for each step of the occurrences that were created.
 func (j *Job) eachStep(visit func(*stepRun)) {
 	for _, o := range j.occurrences {
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -338,17 +338,18 @@
 			}
 		}
 		if o.remainingSteps == 0 {
-			p.completeOccurrence(j, now)
+			p.completeOccurrence(j, o, now)
 		}
 		return
 	}
 }
 
-// completeOccurrence counts an occurrence of which all steps are done. The last one completes
-// the job.
-func (p *Pool) completeOccurrence(j *Job, now clock.Millis) {
-	j.completedOccurrences++
-	if j.completedOccurrences == j.Occurrences() && !j.state.Final() {
+// completeOccurrence records an occurrence of which all steps are done. The last one completes the
+// job.
+func (p *Pool) completeOccurrence(j *Job, o *occurrence, now clock.Millis) {
+	j.progress.CompleteOccurrence(o.index)
+	p.markDirty(j)
+	if j.progress.CompleteCount() == j.Occurrences() && !j.state.Final() {
 		p.finish(j, job.Complete, fmt.Sprintf("all tasks are done after %d ms; the objective was %d ms", now-j.acceptedAt, j.objective-j.acceptedAt), now)
 	}
 }
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -22,14 +22,18 @@
 	return out
 }
 
-// createDueOccurrences creates the occurrences of timed jobs that are due.
+// createDueOccurrences creates the occurrences of timed jobs that are due, and removes those that are
+// complete. If many are due at once, the later ones wait, so that no job takes all memory.
 func (p *Pool) createDueOccurrences(now, wall clock.Millis) {
 	p.timedJobs = slices.DeleteFunc(p.timedJobs, func(j *Job) bool {
-		for !j.state.Final() && j.nextOccurrence < j.Runs && j.Due(j.nextOccurrence) <= wall {
-			p.createOccurrence(j, j.nextOccurrence, now)
+		j.removeCompleteOccurrences()
+		for !j.state.Final() && j.nextOccurrence < j.Runs && j.Due(j.nextOccurrence) <= wall && j.mayCreateOccurrence() {
+			if !j.progress.IsComplete(j.nextOccurrence) {
+				p.createOccurrence(j, j.nextOccurrence, now)
+			}
 			j.nextOccurrence++
 		}
-		return j.state.Final() || j.nextOccurrence == j.Runs
+		return j.state.Final()
 	})
 }
 
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -162,7 +162,7 @@
 		}
 	}
 	if o.remainingSteps == 0 {
-		p.completeOccurrence(j, now)
+		p.completeOccurrence(j, o, now)
 	}
 }
 
