Record each start of a suspected task before it is ordered

Its successor knew of neither crash, and the task crashed six workers. Cause: only trials waited for their record; a start apart was recorded beside it. Gangs start alone from their first crash on. Result: TestSuspectsDoNotStartWithoutStore failed before.

--- a/schedule/crash_test.go
+++ b/schedule/crash_test.go
@@ -621,6 +621,23 @@
 	must.Len(t, 2, s.durable[ref.Job].Crashes[job.Position{}])
 }
 
+// Guards against a second start while the store does not take the record of the first crash: the owner
+// is lost before it does, and both crashes are forgotten.
+func TestSuspectsDoNotStartWithoutStore(t *testing.T) {
+	s := newCrashSimulation(t, 6)
+	ref := s.ref(s.add(4), 1)
+	s.deadly[ref] = true
+	s.runUntil(func() bool { return s.starts[ref] == 1 })
+	s.commitTime = 1 << 40
+	s.run(workerDowntime + 3000)
+	must.Eq(t, 1, s.starts[ref])
+	s.commitTime = 15
+	s.replaceOwner(2)
+	s.run(40_000)
+	s.checkDeadlyJobs()
+	s.checkOtherJobs()
+}
+
 // Guards against trials beyond the allowance of a team.
 func TestTrialsStayWithinAllowance(t *testing.T) {
 	s := newCrashSimulation(t, 4)
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -169,6 +169,10 @@
 			}
 			continue
 		}
+		if t.suspicion == startApart {
+			p.recordApart(t, w, now)
+			continue
+		}
 		p.start(t, w, max(t.run, p.RunBase)+1, now)
 	}
 	return true
@@ -192,10 +196,6 @@
 func (p *Pool) start(t *task, w *worker, run int, now clock.Millis) {
 	t.run = run
 	t.percent, t.mayBeStopping, t.orderedAt = 0, false, now
-	if t.unit().suspicion == startApart {
-		w.suspectAt = now
-		p.recordTrialOf(t, w, false)
-	}
 	p.assign(t, w, starting, now)
 	p.orders = append(p.orders, Order{
 		Kind: Start, Worker: w.ID, Incarnation: w.Incarnation, Task: t.ref(), Run: run, Spec: t.step.job.Spec, Checkpoint: t.checkpoint,
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -62,6 +62,7 @@
 
 	suspects []*task // units that are suspected to crash their workers
 	trials   []*trial
+	apart    []*trialStart // starts of tasks that start apart, which are being recorded
 	// trialsPassed is the balance of recent trials; see newTrialLimits.
 	trialsPassed int
 	unresolved   []unresolvedTrial
@@ -403,7 +404,7 @@
 func (p *Pool) Committed(c Change) {
 	if j := p.jobs[c.Job]; j != nil {
 		j.durableState = c.State
-		j.confirmTrial(c)
+		p.confirmStarts(j, c)
 	}
 }
 
--- a/schedule/suspicion.go
+++ b/schedule/suspicion.go
@@ -100,6 +100,9 @@
 // suspects if need be.
 func (p *Pool) updateSuspicion(u *task) {
 	u.suspicion = suspicionOf(u.crashes(), u.doubts)
+	if u.suspicion == startApart && u.step.spec.Gang {
+		u.suspicion = startAlone // its tasks need several workers anyway
+	}
 	if u.suspicion != unsuspected && !slices.Contains(p.suspects, u) {
 		p.suspects = append(p.suspects, u)
 	}
--- a/schedule/trial.go
+++ b/schedule/trial.go
@@ -72,8 +72,45 @@
 	}
 }
 
+// recordApart assigns a task that starts apart to a worker and records its start. The start is ordered
+// once that is durable.
+func (p *Pool) recordApart(t *task, w *worker, now clock.Millis) {
+	t.run = max(t.run, p.RunBase) + 1
+	p.assign(t, w, recording, now)
+	p.recordTrialOf(t, w, false)
+	w.suspectAt = now
+	p.apart = append(p.apart, &trialStart{task: t, worker: w, run: t.run})
+}
+
+// startApart orders the starts of tasks that start apart and whose record is durable.
+func (p *Pool) startApart(now clock.Millis) {
+	p.apart = slices.DeleteFunc(p.apart, func(s *trialStart) bool {
+		t, w := s.task, s.worker
+		switch {
+		case t.state != recording || t.run != s.run: // withdrawn
+		case !p.startPossible(s, now) || w.trial != nil:
+			p.unassign(t)
+			p.requeueOrBlock(t, now)
+			p.endRecordedTrial(t, s.run)
+		case s.durable:
+			p.unassign(t)
+			p.start(t, w, s.run, now)
+		default:
+			return false
+		}
+		return true
+	})
+}
+
+// startPossible reports whether a recorded start may still be ordered. The capacity of the worker may
+// have shrunk since it was recorded.
+func (p *Pool) startPossible(s *trialStart, now clock.Millis) bool {
+	return p.workers[s.worker.ID] == s.worker && s.worker.isUsable(now) && !s.worker.isOverCapacity()
+}
+
 // runTrials ends, continues and begins trials of suspected tasks.
 func (p *Pool) runTrials(now clock.Millis) {
+	p.startApart(now)
 	if len(p.suspects) == 0 && len(p.trials) == 0 {
 		return
 	}
@@ -232,16 +269,22 @@
 	p.markDirty(j)
 }
 
-// confirmTrial records which starts of a job's trial are durable.
-func (j *Job) confirmTrial(c Change) {
-	if j.trial == nil {
-		return
-	}
-	for i := range j.trial.starts {
-		s := &j.trial.starts[i]
+// confirmStarts records which of the recorded starts of a job are durable.
+func (p *Pool) confirmStarts(j *Job, c Change) {
+	confirm := func(s *trialStart) {
 		recorded, ok := c.Progress.Trials[s.task.position()]
 		s.durable = s.durable || (ok && recorded.Run == s.run)
 	}
+	if j.trial != nil {
+		for i := range j.trial.starts {
+			confirm(&j.trial.starts[i])
+		}
+	}
+	for _, s := range p.apart {
+		if s.task.step.job == j {
+			confirm(s)
+		}
+	}
 }
 
 // isDurable reports whether the starts of a trial may be ordered.
@@ -273,17 +316,11 @@
 
 // trialPossible reports whether the tasks of a trial may still start on its workers.
 func (p *Pool) trialPossible(tr *trial, now clock.Millis) bool {
-	expected := waiting
-	if tr.phase == trialRecording {
-		expected = recording
-	}
 	return !slices.ContainsFunc(tr.starts, func(s trialStart) bool {
-		w := s.worker
-		if s.task.state != expected || p.workers[w.ID] != w || !w.isUsable(now) {
-			return true
+		if tr.phase == trialRecording {
+			return s.task.state != recording || !p.startPossible(&s, now)
 		}
-		// The capacity may have shrunk since the trial was recorded.
-		return tr.phase == trialRecording && w.isOverCapacity()
+		return s.task.state != waiting || p.workers[s.worker.ID] != s.worker || !s.worker.isUsable(now)
 	})
 }
 
