Leave half of a pool's responding workers to tasks that nobody suspects

A job that nobody suspected waited. Cause: the number of trials followed all workers that the pool knows, with two at least, and starts apart had no bound. Change: trials and starts apart count together against half of the workers that respond (or that trials have taken down); there are no starts apart while less than half of the workers respond. A pool with a single worker has one.

--- a/schedule/crash_test.go
+++ b/schedule/crash_test.go
@@ -638,6 +638,30 @@
 	s.checkOtherJobs()
 }
 
+// Guards against a small pool whose workers are all down or kept for trials, so that tasks that nobody
+// suspects do not start: many tasks are deadly, and the pool has shrunk to three workers.
+func TestTrialsLeaveWorkersOfSmallPools(t *testing.T) {
+	s := newCrashSimulation(t, 10)
+	for n := range 10 {
+		s.deadly[s.ref(s.add(4), n%4)] = true
+	}
+	s.run(400)
+	for _, w := range s.workers[3:] {
+		s.pool.Cordon([]fleet.InstanceID{"w3", "w4", "w5", "w6", "w7", "w8", "w9"}, s.now)
+		s.pool.RemoveWorker(w.id, schedule.LossExpected, "its machine was moved", s.now)
+		w.restartAt = 1 << 40
+	}
+	s.run(4000)
+	s.onStep = func() {
+		must.True(t, slices.ContainsFunc(s.workers[:3], func(w *simulatedWorker) bool { return w.restartAt == 0 }), must.Sprint("suspects have taken all workers down"))
+	}
+	for range 20 {
+		n := s.add(2)
+		s.run(2000)
+		must.NotEq(t, job.Queued, s.pool.Job(jobID(n)).State(), must.Sprint("a job that nobody suspects waits for trials of others"))
+	}
+}
+
 // Guards against trials beyond the allowance of a team.
 func TestTrialsStayWithinAllowance(t *testing.T) {
 	s := newCrashSimulation(t, 4)
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -156,7 +156,7 @@
 	}
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state != waiting || t.suspicion == startAlone {
+		if t.state != waiting || t.suspicion == startAlone || (t.suspicion == startApart && p.apartLeft <= 0) {
 			continue
 		}
 		if !p.withinAllowance(s, 1) || p.startLimitReached() {
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -60,9 +60,10 @@
 	startsDeferred   bool                        // the last pass left out starts because of MaxStarting
 	searches         int                         // workers searched for a task in the last pass
 
-	suspects []*task // units that are suspected to crash their workers
-	trials   []*trial
-	apart    []*trialStart // starts of tasks that start apart, which are being recorded
+	suspects  []*task // units that are suspected to crash their workers
+	trials    []*trial
+	apart     []*trialStart // starts of tasks that start apart, which are being recorded
+	apartLeft int           // tasks that may be started apart in the current pass
 	// trialsPassed is the balance of recent trials; see newTrialLimits.
 	trialsPassed int
 	unresolved   []unresolvedTrial
--- a/schedule/trial.go
+++ b/schedule/trial.go
@@ -38,40 +38,84 @@
 // aloneTime is the longest time for which the tasks of a trial keep their workers to themselves.
 const aloneTime clock.Millis = 10_000
 
-// trialLimits bounds the trials of a pool, so that suspected tasks leave most of it to others: they
-// can take down at most all workers at once, and keep others from reserved ones. A worker that
+// trialLimits bounds the trials of a pool, so that suspected tasks leave at least half of it to others:
+// they can take down at most all workers at once, and keep others from reserved ones. A worker that
 // crashes is back after seconds.
 type trialLimits struct {
 	all      int // trials whose workers may yet crash, or do not respond any more
 	reserved int // trials that wait for other runs to end
 }
 
-// The bounds of trialLimits.all: minTrials, and a part of the pool's workers while the trials show
-// that most suspects have done nothing.
-const (
-	minTrials      = 2
-	maxTrialsShare = 2 // at most one worker in so many
-)
+// minTrials is the number of trials that a pool has at once when nothing is known of their outcomes.
+const minTrials = 2
 
-// newTrialLimits returns the limits of a pool with the given number of workers. passed is the balance
-// of recent trials: it grows with each one that passes, and is halved by a crash. After a burst of
-// crashes many tasks are suspected that have done nothing, and wait less; while the suspects crash
-// their workers, few trials take place at once.
-func newTrialLimits(workers, passed int) trialLimits {
-	return trialLimits{all: min(max(minTrials, workers/maxTrialsShare), minTrials+passed), reserved: max(1, workers/8)}
+// newTrialLimits returns the limits of a pool. passed is the balance of recent trials: it grows with
+// each one that passes, and is halved by a crash. After a burst of crashes many tasks are suspected
+// that have done nothing, and wait less; while the suspects crash their workers, few trials take place
+// at once.
+func newTrialLimits(c workerCounts, passed int) trialLimits {
+	if c.all == 1 {
+		return trialLimits{all: 1, reserved: 1}
+	}
+	workers := c.responding + c.downByTrials
+	return trialLimits{all: min((workers-c.apart)/2, minTrials+passed), reserved: max(1, workers/8)}
+}
+
+// maxApart returns how many more tasks may be started apart, each on another worker, beside the trials
+// that may yet crash their workers. There are none while less than half of the pool's workers respond.
+func maxApart(c workerCounts, activeTrials int) int {
+	switch {
+	case c.all == 1:
+		return 1
+	case 2*c.responding < c.all:
+		return 0
+	}
+	return c.responding/2 - c.apart - activeTrials
+}
+
+// workerCounts are numbers of workers that stay in the pool.
+type workerCounts struct {
+	all          int
+	responding   int
+	downByTrials int // that do not respond any more since a trial
+	apart        int // on which a task was started apart within startupTime
+}
+
+// countWorkers counts the workers that are neither cordoned nor draining.
+func (p *Pool) countWorkers(now clock.Millis) workerCounts {
+	var c workerCounts
+	for _, w := range p.sortedWorkers {
+		if w.cordoned || w.Draining {
+			continue
+		}
+		c.all++
+		if w.reachable {
+			c.responding++
+		} else if w.trial != nil && w.trial.unresponsive() {
+			c.downByTrials++
+		}
+		if w.suspectAt != 0 && now-w.suspectAt < startupTime {
+			c.apart++
+		}
+	}
+	return c
 }
 
 // count takes a trial from the limits.
 func (l *trialLimits) count(tr *trial, now clock.Millis) {
-	switch {
-	case tr.phase == trialReserved:
+	if tr.phase == trialReserved {
 		l.reserved--
-		l.all--
-	case tr.phase == trialRecording || tr.unresponsive() || now-tr.since < quickCrashAge:
+	}
+	if tr.isActive(now) || tr.unresponsive() {
 		l.all--
 	}
 }
 
+// isActive reports whether a trial may yet crash its workers at its start.
+func (tr *trial) isActive(now clock.Millis) bool {
+	return !tr.unresponsive() && (tr.phase != trialRunning || now-tr.since < quickCrashAge)
+}
+
 // recordApart assigns a task that starts apart to a worker and records its start. The start is ordered
 // once that is durable.
 func (p *Pool) recordApart(t *task, w *worker, now clock.Millis) {
@@ -79,6 +123,7 @@
 	p.assign(t, w, recording, now)
 	p.recordTrialOf(t, w, false)
 	w.suspectAt = now
+	p.apartLeft--
 	p.apart = append(p.apart, &trialStart{task: t, worker: w, run: t.run})
 }
 
@@ -119,7 +164,20 @@
 		p.forgetCrashes(u, now)
 		return u.suspicion == unsuspected || u.state == done || u.step.job.state.Final()
 	})
-	limits := newTrialLimits(len(p.workers), p.trialsPassed)
+	counts := p.countWorkers(now)
+	p.beginTrials(counts, now)
+	active := 0
+	for _, tr := range p.trials {
+		if tr.isActive(now) {
+			active++
+		}
+	}
+	p.apartLeft = maxApart(counts, active)
+}
+
+// beginTrials begins the trials that the limits permit.
+func (p *Pool) beginTrials(c workerCounts, now clock.Millis) {
+	limits := newTrialLimits(c, p.trialsPassed)
 	for _, tr := range p.trials {
 		limits.count(tr, now)
 	}
