Do not poll incarnations of workers that are known to have ended

Cause: only incarnations whose machines were ordered to move or to go down were remembered as ended; one in whose place another incarnation had answered was not. Change: both are remembered, for a minute.

--- a/owner/commit.go
+++ b/owner/commit.go
@@ -319,7 +319,7 @@
 	if batch.knownWorkers != nil {
 		o.savedKnownWorkers = batch.knownWorkers
 		for id, k := range batch.knownWorkers {
-			if l, ok := o.listedWorkers[id]; ok && l.Incarnation == k.Incarnation {
+			if l, ok := o.listedWorkers[id]; ok && l.Incarnation == k.Incarnation && !o.hasEnded(id, k.Incarnation) {
 				o.followWorker(ListedWorker{Worker: l, Address: o.addresses[id]}, now)
 			}
 		}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -69,9 +69,7 @@
 	savedKnownWorkers map[fleet.InstanceID]knownWorker
 	knownWorkersDirty bool
 	unconfirmed       map[fleet.InstanceID]bool // known at the takeover, and no response since
-	// Incarnations, by start time, that ended because their machine was ordered to move or to
-	// shut down.
-	endedIncarnations map[fleet.InstanceID]clock.Millis
+	endedIncarnations map[fleet.InstanceID]endedIncarnation
 	formerLeasesEnd   clock.Millis // when all leases given by the former owner have expired
 	stopped           bool
 
@@ -104,7 +102,7 @@
 	o := &Owner{
 		Config: c, listedWorkers: map[fleet.InstanceID]schedule.Worker{}, addresses: map[fleet.InstanceID]string{},
 		sessions: map[fleet.InstanceID]*session{}, knownWorkers: map[fleet.InstanceID]knownWorker{},
-		savedKnownWorkers: map[fleet.InstanceID]knownWorker{}, endedIncarnations: map[fleet.InstanceID]clock.Millis{}, unconfirmed: map[fleet.InstanceID]bool{},
+		savedKnownWorkers: map[fleet.InstanceID]knownWorker{}, endedIncarnations: map[fleet.InstanceID]endedIncarnation{}, unconfirmed: map[fleet.InstanceID]bool{},
 		unreadable: map[job.ID]bool{}, submissions: map[job.ID]*submission{}, committed: make(chan struct{}), dispatchers: map[fleet.MemberID]*dispatcherRecord{}, dispatcherLeft: make(chan struct{}, 1),
 		planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
 	}
--- a/owner/report.go
+++ b/owner/report.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 
-	"citronknot/clock"
 	"citronknot/fleet"
 	"citronknot/job"
 	"citronknot/machine"
@@ -84,7 +83,7 @@
 	}
 	for _, id := range d.Ended {
 		if s := o.sessions[id]; s != nil {
-			o.endedIncarnations[id] = s.incarnation
+			o.recordEnded(id, s.incarnation, now)
 			o.removeWorker(id, schedule.LossExpected, "its machine was moved or taken down", now)
 		}
 	}
@@ -92,10 +91,3 @@
 	o.pool.Cordon(d.Cordon, now)
 	wake(o.planWake)
 }
-
-// hasEnded reports whether an incarnation ended because its machine was ordered to move or to
-// shut down. The platform may still list it for a while.
-func (o *Owner) hasEnded(id fleet.InstanceID, incarnation clock.Millis) bool {
-	ended, ok := o.endedIncarnations[id]
-	return ok && ended == incarnation
-}
--- a/owner/workers.go
+++ b/owner/workers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -118,8 +119,35 @@
 	wake(o.commitWake)
 }
 
+// endedIncarnation is an incarnation of a worker that has certainly ended, because its machine was
+// moved or taken down, or because another one has answered in its place. The platform may still list it
+// for a while.
+type endedIncarnation struct {
+	incarnation clock.Millis // its start time
+	since       clock.Millis
+}
+
+// endedRetention is how long an ended incarnation is remembered. The platform removes the entry of a
+// worker after a few heartbeats without one.
+const endedRetention clock.Millis = 60_000
+
+// recordEnded records that an incarnation of a worker has ended.
+func (o *Owner) recordEnded(id fleet.InstanceID, incarnation, now clock.Millis) {
+	maps.DeleteFunc(o.endedIncarnations, func(_ fleet.InstanceID, e endedIncarnation) bool { return now-e.since > endedRetention })
+	o.endedIncarnations[id] = endedIncarnation{incarnation: incarnation, since: now}
+}
+
+// hasEnded reports whether an incarnation of a worker is known to have ended.
+func (o *Owner) hasEnded(id fleet.InstanceID, incarnation clock.Millis) bool {
+	ended, ok := o.endedIncarnations[id]
+	return ok && ended.incarnation == incarnation
+}
+
 // loseIncarnation removes an incarnation of which a session has found that it has ended.
 func (o *Owner) loseIncarnation(id fleet.InstanceID, reason string, now clock.Millis) {
+	if s := o.sessions[id]; s != nil {
+		o.recordEnded(id, s.incarnation, now)
+	}
 	o.confirmWorker(id)
 	o.removeWorker(id, schedule.LossCrash, reason, now)
 }
