--- /dev/null
+++ b/schedule/trial_test.go
@@ -0,0 +1,253 @@
+package schedule_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"citronknot/clock"
+	"citronknot/fleet"
+	"citronknot/job"
+	"citronknot/schedule"
+)
+
+// Guards against a pool that a class of tasks takes down: every third job has a task that crashes its
+// worker. Suspected tasks may not take down more than a third of the workers at once.
+func TestManyDeadlyTasksLeaveWorkersToOthers(t *testing.T) {
+	s := newCrashSimulation(t, 24)
+	for n := range 45 {
+		job := s.add(6)
+		if n%3 == 0 {
+			s.deadly[s.ref(job, n%6)] = true
+		}
+		s.run(200)
+	}
+	s.run(60_000)
+	must.LessEq(t, 8, s.mostDown)
+	s.checkDeadlyJobs()
+	s.checkOtherJobs()
+}
+
+// Guards against the start of a suspected task that no other owner knows of: if the owner were lost
+// together with the worker, the crash would not count.
+func TestTrialIsDurableBeforeItsStart(t *testing.T) {
+	s := newCrashSimulation(t, 4)
+	s.commitTime = 700
+	ref := s.ref(s.add(1), 0)
+	s.deadly[ref] = true
+	s.run(5000)
+	must.Eq(t, 2, s.starts[ref])
+	s.runUntil(func() bool {
+		if !s.durable[ref.Job].Trials[job.Position{}].Alone {
+			must.Eq(t, 2, s.starts[ref], must.Sprint("the third start was ordered before its trial was durable"))
+		}
+		return s.starts[ref] == 3
+	})
+	must.True(t, s.durable[ref.Job].Trials[job.Position{}].Alone)
+}
+
+// untilRecording runs the simulation until the trial of a task is being recorded, and holds it there.
+func (s *crashSimulation) untilRecording(ref job.Ref) {
+	s.commitTime = 15
+	s.runUntil(func() bool { return s.starts[ref] == 2 })
+	s.run(workerDowntime - 200)
+	s.commitTime = 1 << 40
+	s.run(1000)
+	must.Eq(s.t, 2, s.starts[ref])
+}
+
+// Guards against capacity that stays taken after a trial that was not started: the job is cancelled, an
+// earlier run turns out to be done, or the worker is to be drained.
+func TestWithdrawnTrialsFreeTheirWorkers(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		withdraw func(s *crashSimulation, ref job.Ref)
+	}{
+		{"cancelled", func(s *crashSimulation, ref job.Ref) { s.pool.Cancel(ref.Job, s.now) }},
+		{"done", func(s *crashSimulation, ref job.Ref) {
+			s.pool.Observe("w0", schedule.Report{EndsOnly: true, Ended: []schedule.EndReport{{Task: ref, Run: 1, Kind: schedule.EndDone}}}, s.now)
+		}},
+		{"drained", func(s *crashSimulation, ref job.Ref) { s.pool.Cordon([]fleet.InstanceID{"w0"}, s.now) }},
+	} {
+		s := newCrashSimulation(t, 1)
+		ref := s.ref(s.add(1), 0)
+		s.deadly[ref] = true
+		s.untilRecording(ref)
+		c.withdraw(s, ref)
+		s.pool.Plan(s.now, s.now)
+		s.pool.Cordon(nil, s.now)
+		for _, change := range s.changes {
+			s.pool.Committed(change)
+		}
+		s.pool.Cancel(ref.Job, s.now)
+		wide := newStep(1)
+		wide.Needs.CPU = 64000
+		other := s.addSteps(wide)
+		s.commitAt, s.commitTime = 0, 15
+		s.run(5000)
+		must.Eq(t, 2, s.starts[ref], must.Sprint(c.name))
+		must.Eq(t, job.Complete, s.pool.Job(jobID(other)).State(), must.Sprint(c.name))
+	}
+}
+
+// Guards against blame on a task for a crash of a run that was started just before it on the same
+// worker: a trial waits until the other runs on its worker have gone on for two seconds.
+func TestTrialWaitsUntilOtherRunsHaveSettled(t *testing.T) {
+	s := newCrashSimulation(t, 2)
+	s.pool.Cordon([]fleet.InstanceID{"w1"}, s.now)
+	ref := s.ref(s.add(1), 0)
+	s.deadly[ref] = true
+	s.runUntil(func() bool { return s.starts[ref] == 2 })
+	s.run(workerDowntime - 500)
+	s.pool.Cordon(nil, s.now)
+	s.workers[0].cpu = 0 // the task does not fit there any more
+	s.runTime = 5000
+	s.add(1)
+	s.run(20)
+	must.MapLen(t, 1, s.workers[1].runs)
+	s.run(1900)
+	must.Eq(t, 2, s.starts[ref], must.Sprint("the other run is younger than two seconds"))
+	s.run(300)
+	must.Eq(t, 3, s.starts[ref])
+}
+
+// Guards against a crash that is forgotten because the owner was lost in the moment between the second
+// start of a task and the return of its worker.
+func TestSecondStartIsRecorded(t *testing.T) {
+	s := newCrashSimulation(t, 4)
+	ref := s.ref(s.add(1), 0)
+	s.deadly[ref] = true
+	s.runUntil(func() bool { return s.starts[ref] == 2 })
+	s.run(100)
+	s.replaceOwner(2)
+	s.run(workerDowntime)
+	must.Len(t, 2, s.durable[ref.Job].Crashes[job.Position{}])
+}
+
+// Guards against a second start while the store does not take the record of the first crash: the owner
+// is lost before it does, and both crashes are forgotten.
+func TestSuspectsDoNotStartWithoutStore(t *testing.T) {
+	s := newCrashSimulation(t, 6)
+	ref := s.ref(s.add(4), 1)
+	s.deadly[ref] = true
+	s.runUntil(func() bool { return s.starts[ref] == 1 })
+	s.commitTime = 1 << 40
+	s.run(workerDowntime + 3000)
+	must.Eq(t, 1, s.starts[ref])
+	s.commitTime = 15
+	s.replaceOwner(2)
+	s.run(40_000)
+	s.checkDeadlyJobs()
+	s.checkOtherJobs()
+}
+
+// Guards against a small pool whose workers are all down or kept for trials, so that tasks that nobody
+// suspects do not start: many tasks are deadly, and the pool has shrunk to three workers.
+func TestTrialsLeaveWorkersOfSmallPools(t *testing.T) {
+	s := newCrashSimulation(t, 10)
+	for n := range 10 {
+		s.deadly[s.ref(s.add(4), n%4)] = true
+	}
+	s.run(400)
+	for _, w := range s.workers[3:] {
+		s.pool.Cordon([]fleet.InstanceID{"w3", "w4", "w5", "w6", "w7", "w8", "w9"}, s.now)
+		s.pool.RemoveWorker(w.id, schedule.LossExpected, "its machine was moved", s.now)
+		w.restartAt = 1 << 40
+	}
+	s.run(4000)
+	s.onStep = func() {
+		must.True(t, slices.ContainsFunc(s.workers[:3], func(w *simulatedWorker) bool { return w.restartAt == 0 }), must.Sprint("suspects have taken all workers down"))
+	}
+	for range 20 {
+		n := s.add(2)
+		s.run(2000)
+		must.NotEq(t, job.Queued, s.pool.Job(jobID(n)).State(), must.Sprint("a job that nobody suspects waits for trials of others"))
+	}
+}
+
+// Guards against trials beyond the allowance of a team.
+func TestTrialsStayWithinAllowance(t *testing.T) {
+	s := newCrashSimulation(t, 4)
+	s.pool.Limited = func(fleet.TeamID) bool { return true }
+	allow := func(cpu int64) {
+		s.pool.SetAllowance(map[fleet.TeamID]job.Resources{"alpha": {CPU: cpu, Memory: 1 << 30, GPU: 1 << 30}})
+	}
+	j := newJob(1, newStep(2))
+	j.Team = "alpha"
+	s.jobs = append(s.jobs, j)
+	allow(4000)
+	s.pool.Add(j, testPolicy, nil, 0, s.now)
+	ref := s.ref(1, 0)
+	s.deadly[ref] = true
+	s.runUntil(func() bool { return s.starts[ref] == 2 })
+	allow(500)
+	s.run(8000)
+	must.Eq(t, 2, s.starts[ref])
+	allow(4000)
+	s.run(20_000)
+	s.checkDeadlyJobs()
+}
+
+// recoveryTime is the time after the loss of all power in which the deployments are to serve again.
+const recoveryTime clock.Millis = 12_000
+
+// Guards against jobs that wait in a long queue of trials although they have done nothing: all workers
+// crash twice, each time just after all tasks have started.
+func TestSuspectsOfBurstAreServedSoon(t *testing.T) {
+	s := newCrashSimulation(t, 8)
+	for range 40 {
+		s.addSteps(newStep(6))
+	}
+	for range 2 {
+		s.run(100)
+		for _, w := range s.workers {
+			s.crash(w)
+		}
+		s.run(workerDowntime)
+	}
+	s.run(recoveryTime)
+	s.checkOtherJobs()
+}
+
+// BenchmarkPlanWithSuspects plans a full pool of 240 workers in which 1,000 tasks of 250 jobs are
+// suspected after a burst of crashes, none of which can start.
+func BenchmarkPlanWithSuspects(b *testing.B) {
+	for _, suspects := range []int{0, 100, 1000} {
+		b.Run(fmt.Sprintf("suspects=%d", suspects), func(b *testing.B) { benchmarkSuspects(b, suspects) })
+	}
+}
+
+// benchmarkSuspects runs BenchmarkPlanWithSuspects with a number of suspected tasks.
+func benchmarkSuspects(b *testing.B, suspects int) {
+	p := schedule.New(schedule.Config{Pool: "p"})
+	now := clock.Millis(1000)
+	for n := range suspects / 4 {
+		progress := &job.Progress{}
+		for index := range 4 {
+			at := job.Position{Index: index}
+			progress.AddCrash(at, job.Crash{Run: 1, Worker: "a", Age: 10})
+			progress.AddCrash(at, job.Crash{Run: 2, Worker: "b", Age: 10})
+		}
+		p.Add(newJob(n, newStep(4)), testPolicy, progress, 0, now)
+	}
+	p.FinishRecovery(now)
+	for i := range 240 {
+		w := fleet.InstanceID(fmt.Sprintf("w%03d", i))
+		p.SetWorker(schedule.Worker{ID: w, Incarnation: 1, Capacity: job.Resources{CPU: 16000, Memory: 32768}}, now)
+		p.SetReachable(w, true, now)
+		var running []schedule.RunReport
+		for k := range 16 {
+			running = append(running, schedule.RunReport{Task: job.Ref{Job: jobID(1 << 20), Index: i*16 + k}, Run: 1})
+		}
+		if i == 0 {
+			p.Add(newJob(1<<20, newStep(240*16)), testPolicy, &job.Progress{}, 0, now)
+		}
+		p.Observe(w, schedule.Report{Running: running}, now)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Plan(now, now)
+	}
+}
