Blame tasks for crashes at the same age, and count the other starts

Cause: two crashes of runs that were alone made a task the cause, at any age up to 1 s. A task that had done nothing was given up by chance, and one that crashed its workers took one worker more than needed, although no other run had just been started beside its earlier ones. Change: a crash records how many other runs had just been started on the worker, and the worker's incarnation. Two runs that were lost alone show the cause if their ages differ by at most 50 ms, otherwise three are needed; an earlier run that was the only new one on its worker counts like one that was alone, if there are three crashes. Trials of the least likely tasks begin first.

--- a/job/codec.go
+++ b/job/codec.go
@@ -64,11 +64,12 @@
 
 // wireCrash is a crash of a worker under a task.
 type wireCrash struct {
-	Run     int    `json:"run"`
-	Worker  string `json:"worker"`
-	Machine string `json:"machine,omitempty"`
-	Age     int64  `json:"age_ms"`
-	Alone   bool   `json:"alone,omitempty"`
+	Run         int    `json:"run"`
+	Worker      string `json:"worker"`
+	Incarnation int64  `json:"born_ms"`
+	Age         int64  `json:"age_ms"`
+	Alone       bool   `json:"alone,omitempty"`
+	Peers       int    `json:"peers,omitempty"`
 }
 
 // wireTrial is the start of a task under which workers have crashed.
@@ -201,7 +202,7 @@
 func encodeCrashes(crashes []Crash) []wireCrash {
 	out := make([]wireCrash, 0, len(crashes))
 	for _, c := range crashes {
-		out = append(out, wireCrash{Run: c.Run, Worker: string(c.Worker), Machine: c.Machine, Age: int64(c.Age), Alone: c.Alone})
+		out = append(out, wireCrash{Run: c.Run, Worker: string(c.Worker), Incarnation: int64(c.Incarnation), Age: int64(c.Age), Alone: c.Alone, Peers: c.Peers})
 	}
 	return out
 }
@@ -209,7 +210,7 @@
 func decodeCrashes(crashes []wireCrash) []Crash {
 	out := make([]Crash, 0, len(crashes))
 	for _, c := range crashes {
-		out = append(out, Crash{Run: c.Run, Worker: fleet.InstanceID(c.Worker), Machine: c.Machine, Age: clock.Millis(c.Age), Alone: c.Alone})
+		out = append(out, Crash{Run: c.Run, Worker: fleet.InstanceID(c.Worker), Incarnation: clock.Millis(c.Incarnation), Age: clock.Millis(c.Age), Alone: c.Alone, Peers: c.Peers})
 	}
 	return out
 }
--- a/job/codec_test.go
+++ b/job/codec_test.go
@@ -14,7 +14,7 @@
 	at := job.Position{Occurrence: 1, Step: 2, Index: 3}
 	var p job.Progress
 	p.AddFailure(at, 4)
-	p.AddCrash(at, job.Crash{Run: 5, Worker: "w1", Machine: "m1", Age: 12, Alone: true})
+	p.AddCrash(at, job.Crash{Run: 5, Worker: "w1", Incarnation: 99, Age: 12, Alone: true, Peers: 3})
 	p.AddCrash(at, job.Crash{Run: 6, Worker: "w2", Age: -1})
 	must.Len(t, 2, p.AddCrash(at, job.Crash{Run: 5, Worker: "w1"}), must.Sprint("a run counts once"))
 	p.SetTrial(at, job.Trial{Run: 7, Worker: "w3", Incarnation: clock.Millis(99), Alone: true})
--- a/job/crash.go
+++ b/job/crash.go
@@ -9,11 +9,12 @@
 
 // Crash is a run of a task that was lost when its worker crashed.
 type Crash struct {
-	Run     int
-	Worker  fleet.InstanceID
-	Machine string       // hardware of the worker; empty if unknown
-	Age     clock.Millis // from the order to start the run until the worker stopped responding, or a lower bound; -1 if unknown
-	Alone   bool         // nothing else that could have caused the crash ran on the worker
+	Run         int
+	Worker      fleet.InstanceID
+	Incarnation clock.Millis // of the worker
+	Age         clock.Millis // from the order to start the run until the worker stopped responding, or a lower bound; -1 if unknown
+	Alone       bool         // nothing else that could have caused the crash ran on the worker
+	Peers       int          // other runs that had just been started on the worker, too
 }
 
 // Within reports whether the worker is known to have crashed within age after the start of the run.
--- a/schedule/crash_test.go
+++ b/schedule/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -45,6 +46,124 @@
 	s.checkOtherJobs()
 }
 
+// addSuspect adds a job of one task of 3.5 cores that was lost in crashes before, and returns its
+// number.
+func (s *crashSimulation) addSuspect(crashes ...job.Crash) int {
+	step := newStep(1)
+	step.Needs.CPU = 3500
+	return s.addLostBefore(step, crashes...)
+}
+
+// addLostBefore adds a job of one step whose first task was lost in crashes before, and returns its
+// number.
+func (s *crashSimulation) addLostBefore(step job.Step, crashes ...job.Crash) int {
+	n := len(s.jobs) + 1
+	j := newJob(n, step)
+	s.jobs = append(s.jobs, j)
+	progress := &job.Progress{}
+	for i, c := range crashes {
+		c.Run, c.Incarnation = 1000+i, 1
+		progress.AddCrash(job.Position{}, c)
+	}
+	s.pool.Add(j, testPolicy, progress, 0, s.now)
+	return n
+}
+
+// Guards against a deadly task that crashes more workers than are needed to find it: one crash of a run
+// that is alone is enough after the crash of a run beside which no other had just been started. It is
+// not after crashes that others may have caused.
+func TestCrashesThatShowTheCause(t *testing.T) {
+	sole := job.Crash{Worker: "a", Age: 10}
+	beside := job.Crash{Worker: "b", Age: 10, Peers: 1}
+	later := job.Crash{Worker: "c", Age: 400}
+	unknown := job.Crash{Worker: "d", Age: -1}
+	for _, c := range []struct {
+		name    string
+		gang    bool
+		crashes []job.Crash
+		want    int // crashes of runs that are alone until the job fails
+	}{
+		{"beside others", false, []job.Crash{beside, beside}, 2},
+		{"later", false, []job.Crash{later, later, later}, 2},
+		{"unknown age", false, []job.Crash{unknown, unknown}, 2},
+		{"one sole start", false, []job.Crash{beside, sole}, 1},
+		{"sole starts", false, []job.Crash{sole, sole}, 1},
+		{"two crashes", true, []job.Crash{sole}, 2},
+	} {
+		s := newCrashSimulation(t, 4)
+		step := newStep(1)
+		step.Gang = c.gang
+		ref := s.ref(s.addLostBefore(step, c.crashes...), 0)
+		s.deadly[ref] = true
+		s.run(20_000)
+		must.Eq(t, c.want, s.starts[ref], must.Sprint(c.name))
+		s.checkDeadlyJobs()
+	}
+}
+
+// Guards against a job that is shown as failed because its task was lost alone twice by chance: crashes
+// at other ages count for less than those at the same one.
+func TestCrashesAtOtherAgesNeedMoreProof(t *testing.T) {
+	for _, c := range []struct {
+		delay clock.Millis // of each crash after the one before
+		want  int
+	}{{30, 2}, {100, 3}} {
+		s := newCrashSimulation(t, 4)
+		beside := job.Crash{Worker: "a", Age: 10, Peers: 1}
+		ref := s.ref(s.addSuspect(beside, beside), 0)
+		s.deadly[ref] = true
+		s.onStart = func(*simulatedWorker) { s.crashDelay += c.delay }
+		s.run(30_000)
+		must.Eq(t, c.want, s.starts[ref], must.Sprintf("each crash %d ms later", c.delay))
+		s.checkDeadlyJobs()
+	}
+}
+
+// Guards against a job that is shown as failed for crashes of other causes: all workers crash just
+// after its start in a trial, but other runs had been started beside its earlier ones.
+func TestCrashesBesideOtherStartsFailNoJob(t *testing.T) {
+	s := newCrashSimulation(t, 4)
+	n := s.addSuspect(job.Crash{Worker: "a", Age: 10, Peers: 3}, job.Crash{Worker: "b", Age: 10, Peers: 1})
+	s.runUntil(func() bool {
+		return slices.ContainsFunc(s.workers, func(w *simulatedWorker) bool { return len(w.runs) > 0 })
+	})
+	s.run(10)
+	for _, w := range s.workers {
+		s.crash(w)
+	}
+	s.run(20_000)
+	must.Eq(t, job.Complete, s.pool.Job(jobID(n)).State())
+}
+
+// Guards against crashes of a task that are not known as those of the only run that had just been
+// started: a task that starts by itself is found at its third crash.
+func TestTaskThatStartsByItselfIsGivenUpAtThirdCrash(t *testing.T) {
+	s := newCrashSimulation(t, 4)
+	ref := s.ref(s.add(1), 0)
+	s.deadly[ref] = true
+	s.run(20_000)
+	must.Eq(t, 3, s.starts[ref])
+	s.checkDeadlyJobs()
+}
+
+// Guards against a job that is shown as failed although none of its runs crashed a worker alone: the
+// third crash comes long after its start, and takes a lasting task with it.
+func TestLateCrashBesideOthersFailsNoJob(t *testing.T) {
+	s := newCrashSimulation(t, 1)
+	lasting := newStep(1)
+	lasting.LongRunning = true
+	s.addSteps(lasting)
+	s.run(3000)
+	s.runTime = 4000
+	sole := job.Crash{Worker: "a", Age: 10}
+	n := s.addSuspect(sole, sole)
+	s.runUntil(func() bool { return len(s.workers[0].runs) == 2 })
+	s.run(1500)
+	s.crash(s.workers[0])
+	s.run(20_000)
+	must.Eq(t, job.Complete, s.pool.Job(jobID(n)).State())
+}
+
 // Guards against jobs that are given up because their tasks were lost beside one that crashes workers,
 // or because of crashes of other causes: workers of eight crash at random, a third of them each two
 // seconds, while one deadly task is among the jobs.
--- a/schedule/suspicion.go
+++ b/schedule/suspicion.go
@@ -19,6 +19,9 @@
 	// quickCrashAge is the largest age of a run that crashed its worker at its start. It covers the
 	// polls that have to fail before a worker counts as unreachable.
 	quickCrashAge clock.Millis = 1000
+	// crashAgeSpread is the largest difference between the ages at which runs of a task are lost that
+	// crashes its workers at its start. It covers the time between two polls of a worker.
+	crashAgeSpread clock.Millis = 50
 	// settledAge is how long a run has gone on when a crash of its worker, just after another start
 	// there, is not put down to it.
 	settledAge = 2 * quickCrashAge
@@ -32,10 +35,10 @@
 )
 
 // Numbers of crashes that make a task the cause. A run may be lost by chance several times, but
-// hardly at its start, on a worker with nothing else, on two of them.
+// hardly at the same age as before, alone on its worker.
 const (
-	blameQuickAlone = 2 // at the start, or at an unknown age, of runs that were alone
-	blameAlone      = 3 // at any time, of runs that were alone
+	blameAlone   = 3 // of runs that were alone, at any age
+	blameCrashes = 3 // the least number if one of two runs that were lost at the same age was not alone
 )
 
 // Weights of crashes in the suspicion against a task, and the sum from which on it is started alone.
@@ -80,20 +83,34 @@
 }
 
 // blamed decides whether the crashes of a task show that the task is their cause. Crashes for other
-// causes can hit a task as often as they like beside others; only those of a task that ran alone
-// count, and one of these alone can still be chance.
+// causes can hit a task as often as they like beside others that had just been started, and can hit one
+// that runs alone at any age. A task that crashes its workers does so at about the same age.
 func blamed(crashes []job.Crash) bool {
-	quickAlone, alone := 0, 0
-	for _, c := range crashes {
+	alone := 0
+	for i, c := range crashes {
 		if !c.Alone {
 			continue
 		}
-		alone++
-		if c.Age <= quickCrashAge {
-			quickAlone++
+		if alone++; alone >= blameAlone {
+			return true
+		}
+		for _, o := range crashes[:i] {
+			if o.Alone && sameAge(c, o) {
+				return true
+			}
+			sole := o.Peers == 0 && o.Within(startupTime)
+			if sole && sameAge(c, o) && len(crashes) >= blameCrashes {
+				return true
+			}
 		}
 	}
-	return quickAlone >= blameQuickAlone || alone >= blameAlone
+	return false
+}
+
+// sameAge reports whether two runs were lost at about the same age. An unknown one counts as that of a
+// run that had just been started.
+func sameAge(a, b job.Crash) bool {
+	return max(a.Age, b.Age)-min(a.Age, b.Age) <= crashAgeSpread
 }
 
 // updateSuspicion derives the suspicion against a unit from its crashes, and adds the unit to the
@@ -145,10 +162,21 @@
 func (w *worker) lostRuns(now clock.Millis) []lostRun {
 	units := map[*task]bool{}
 	out := make([]lostRun, 0, len(w.tasks))
+	atStart := 0
 	for _, t := range w.sortedTasks() {
 		if t.state != recording && !units[t.unit()] {
 			units[t.unit()] = true
-			out = append(out, lostRun{task: t, crash: w.crashOf(t, now)})
+			l := lostRun{task: t, crash: w.crashOf(t, now)}
+			if l.crash.Age <= startupTime {
+				atStart++
+			}
+			out = append(out, l)
+		}
+	}
+	for i := range out {
+		out[i].crash.Peers = atStart
+		if out[i].crash.Age <= startupTime {
+			out[i].crash.Peers--
 		}
 	}
 	return out
@@ -156,7 +184,7 @@
 
 // crashOf describes the crash of the worker for one of its runs.
 func (w *worker) crashOf(t *task, now clock.Millis) job.Crash {
-	c := job.Crash{Run: t.run, Worker: w.ID, Machine: w.Machine, Age: -1}
+	c := job.Crash{Run: t.run, Worker: w.ID, Incarnation: w.Incarnation, Age: -1}
 	started := t.orderedAt
 	if started == 0 {
 		started = t.adoptedAt
@@ -321,7 +349,7 @@
 			return false
 		}
 		if crashed {
-			p.recordCrash(lostRun{task: u.task, crash: job.Crash{Run: u.Run, Worker: w.ID, Machine: w.Machine, Age: -1, Alone: u.Alone}}, now)
+			p.recordCrash(lostRun{task: u.task, crash: job.Crash{Run: u.Run, Worker: w.ID, Incarnation: w.Incarnation, Age: -1, Alone: u.Alone}}, now)
 		}
 		return true
 	})
@@ -334,7 +362,7 @@
 		if w := p.workers[u.Worker]; w != nil && w.Incarnation == u.Incarnation {
 			return false
 		}
-		p.recordCrash(lostRun{task: u.task, crash: job.Crash{Run: u.Run, Worker: u.Worker, Age: -1}}, now)
+		p.recordCrash(lostRun{task: u.task, crash: job.Crash{Run: u.Run, Worker: u.Worker, Incarnation: u.Incarnation, Age: -1}}, now)
 		return true
 	})
 }
--- a/schedule/trial.go
+++ b/schedule/trial.go
@@ -220,19 +220,25 @@
 			out = append(out, u)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b *task) int { return cmp.Compare(countAtStart(a.crashes()), countAtStart(b.crashes())) })
+	slices.SortStableFunc(out, func(a, b *task) int { return cmp.Compare(likelihood(a.crashes()), likelihood(b.crashes())) })
 	return out
 }
 
-// countAtStart returns the number of crashes at the start of a run.
-func countAtStart(crashes []job.Crash) int {
-	n := 0
+// likelihood orders suspected tasks by how likely they are the cause of their crashes: each crash at the
+// start of a run counts by the number of runs that may have caused it, and one of a run that was alone
+// counts twice.
+func likelihood(crashes []job.Crash) int {
+	const whole = 60
+	sum := 0
 	for _, c := range crashes {
-		if c.Age <= startupTime {
-			n++
+		switch {
+		case c.Alone:
+			sum += 2 * whole
+		case c.Age <= startupTime:
+			sum += whole / (1 + c.Peers)
 		}
 	}
-	return n
+	return sum
 }
 
 // needsTrial reports whether a unit is to start in a trial and may start: the task, or all tasks of
--- a/schedule/trial_test.go
+++ b/schedule/trial_test.go
@@ -211,24 +211,45 @@
 	s.checkOtherJobs()
 }
 
-// BenchmarkPlanWithSuspects plans a full pool of 240 workers in which 1,000 tasks of 250 jobs are
-// suspected after a burst of crashes, none of which can start.
+// Guards against tasks that have done nothing and wait until others have crashed the workers: those
+// that were lost beside more starts go first.
+func TestLeastLikelySuspectsGoFirst(t *testing.T) {
+	s := newCrashSimulation(t, 1)
+	beside := func(peers int) job.Crash { return job.Crash{Worker: "a", Age: 10, Peers: peers} }
+	third := s.addSuspect(beside(0), beside(1))
+	first := s.addSuspect(beside(9), beside(5))
+	second := s.addSuspect(beside(2), beside(5))
+	s.run(20_000)
+	var order []job.ID
+	for _, e := range s.events {
+		if e.Kind == "task_started_alone" {
+			order = append(order, e.Task.Job)
+		}
+	}
+	must.Eq(t, []job.ID{jobID(first), jobID(second), jobID(third)}, order)
+}
+
+// BenchmarkPlanWithSuspects plans a full pool of 240 workers in which tasks are suspected after bursts of
+// crashes, and none can start: after one burst they are to start apart, after two in trials.
 func BenchmarkPlanWithSuspects(b *testing.B) {
-	for _, suspects := range []int{0, 100, 1000} {
-		b.Run(fmt.Sprintf("suspects=%d", suspects), func(b *testing.B) { benchmarkSuspects(b, suspects) })
+	for _, crashes := range []int{1, 2} {
+		for _, suspects := range []int{0, 100, 1000} {
+			b.Run(fmt.Sprintf("crashes=%d/suspects=%d", crashes, suspects), func(b *testing.B) { benchmarkSuspects(b, suspects, crashes) })
+		}
 	}
 }
 
-// benchmarkSuspects runs BenchmarkPlanWithSuspects with a number of suspected tasks.
-func benchmarkSuspects(b *testing.B, suspects int) {
+// benchmarkSuspects runs BenchmarkPlanWithSuspects with a number of suspected tasks, each with a number
+// of crashes.
+func benchmarkSuspects(b *testing.B, suspects, crashes int) {
 	p := schedule.New(schedule.Config{Pool: "p"})
 	now := clock.Millis(1000)
 	for n := range suspects / 4 {
 		progress := &job.Progress{}
 		for index := range 4 {
-			at := job.Position{Index: index}
-			progress.AddCrash(at, job.Crash{Run: 1, Worker: "a", Age: 10})
-			progress.AddCrash(at, job.Crash{Run: 2, Worker: "b", Age: 10})
+			for run := range crashes {
+				progress.AddCrash(job.Position{Index: index}, job.Crash{Run: 1 + run, Worker: "a", Age: 10})
+			}
 		}
 		p.Add(newJob(n, newStep(4)), testPolicy, progress, 0, now)
 	}
