Put crashes down to tasks that have crashed a worker alone

Cause: tasks that were lost twice beside tasks that crash workers waited for trials of their own, also when the cause of one of the crashes was known. Change: when a run that is alone crashes its worker, the earlier crashes of its task are put down to it. The heaviest of them is left out of the suspicion against each other task, for two minutes.

--- a/schedule/crash_test.go
+++ b/schedule/crash_test.go
@@ -164,6 +164,27 @@
 	must.Eq(t, job.Complete, s.pool.Job(jobID(n)).State())
 }
 
+// Guards against tasks that wait for trials of their own although the task that was lost with them has
+// turned out to crash workers.
+func TestCrashesArePutDownToTheirCause(t *testing.T) {
+	s := newCrashSimulation(t, 1)
+	at := func(w fleet.InstanceID) job.Crash { return job.Crash{Worker: w, Age: 10} }
+	deadly := s.addSuspect(at("a"), at("b"))
+	explained := s.addSuspect(at("a"), at("c"))
+	unexplained := s.addSuspect(at("b"), at("d"), at("e"))
+	s.deadly[s.ref(deadly, 0)] = true
+	s.run(20_000)
+	alone := map[job.ID]bool{}
+	for _, e := range s.events {
+		if e.Kind == "task_started_alone" {
+			alone[e.Task.Job] = true
+		}
+	}
+	must.Eq(t, map[job.ID]bool{jobID(deadly): true, jobID(unexplained): true}, alone, must.Sprintf("job %s has one crash left", jobID(explained)))
+	s.checkDeadlyJobs()
+	s.checkOtherJobs()
+}
+
 // Guards against jobs that are given up because their tasks were lost beside one that crashes workers,
 // or because of crashes of other causes: workers of eight crash at random, a third of them each two
 // seconds, while one deadly task is among the jobs.
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -68,6 +68,7 @@
 	trialsPassed int
 	unresolved   []unresolvedTrial
 	doubts       map[fleet.InstanceID]*doubt
+	explained    map[crashID]clock.Millis // when crashes were put down to a task that crashed a worker alone
 	crashedAt    map[string]clock.Millis // by machine, of workers that have crashed a short time ago
 }
 
@@ -85,7 +86,7 @@
 		usedByTeam: map[fleet.TeamID]job.Resources{}, allowanceByTeam: map[fleet.TeamID]job.Resources{},
 		dirtyJobs: map[job.ID]*Job{}, stoppingTasks: map[*task]bool{}, startingTasks: map[*task]*starter{},
 		starters: map[fleet.MemberID]*starter{}, pendingJobs: map[fleet.QueueID]int{},
-		doubts: map[fleet.InstanceID]*doubt{}, crashedAt: map[string]clock.Millis{},
+		doubts: map[fleet.InstanceID]*doubt{}, crashedAt: map[string]clock.Millis{}, explained: map[crashID]clock.Millis{},
 	}
 }
 
--- a/schedule/suspicion.go
+++ b/schedule/suspicion.go
@@ -32,6 +32,8 @@
 	// doubtTime is how long the pool remembers the runs of a worker that has not responded, in case
 	// it turns out to have crashed.
 	doubtTime clock.Millis = 60_000
+	// explainTime is how long crashes stay put down to a task that has crashed a worker alone.
+	explainTime clock.Millis = 120_000
 )
 
 // Numbers of crashes that make a task the cause. A run may be lost by chance several times, but
@@ -116,7 +118,7 @@
 // updateSuspicion derives the suspicion against a unit from its crashes, and adds the unit to the
 // suspects if need be.
 func (p *Pool) updateSuspicion(u *task) {
-	u.suspicion = suspicionOf(u.crashes(), u.doubts)
+	u.suspicion = suspicionOf(u.crashes(), p.unexplained(u), u.doubts)
 	if u.suspicion == startApart && u.step.spec.Gang {
 		u.suspicion = startAlone // its tasks need several workers anyway
 	}
@@ -125,11 +127,11 @@
 	}
 }
 
-// suspicionOf decides how a task is started next, from its crashes and from the number of its runs
-// that were lost with workers that may have crashed.
-func suspicionOf(crashes []job.Crash, doubts int) suspicion {
+// suspicionOf decides how a task is started next, from its crashes, those of them that count, and the
+// number of its runs that were lost with workers that may have crashed.
+func suspicionOf(crashes, counted []job.Crash, doubts int) suspicion {
 	total := doubts * weightLater
-	for _, c := range crashes {
+	for _, c := range counted {
 		total += crashWeight(c)
 	}
 	switch {
@@ -152,6 +154,44 @@
 	return weightAtStart
 }
 
+// crashID identifies the crash of a worker.
+type crashID struct {
+	worker      fleet.InstanceID
+	incarnation clock.Millis
+}
+
+func idOf(c job.Crash) crashID { return crashID{worker: c.Worker, incarnation: c.Incarnation} }
+
+// explain puts all crashes of a unit that has crashed a worker alone down to it, which lessens the
+// suspicion against the tasks that were lost with it.
+func (p *Pool) explain(u *task, now clock.Millis) {
+	maps.DeleteFunc(p.explained, func(_ crashID, since clock.Millis) bool { return now-since > explainTime })
+	for _, c := range u.crashes() {
+		p.explained[idOf(c)] = now
+	}
+	for _, other := range p.suspects {
+		p.updateSuspicion(other)
+	}
+}
+
+// unexplained returns the crashes of a unit that count: all but the heaviest one that is put down to a
+// task. Only one is left out: two tasks that crash their workers may be lost together. What is left
+// suffices to start a task alone that has crashed a worker alone.
+func (p *Pool) unexplained(u *task) []job.Crash {
+	crashes := u.crashes()
+	heaviest := -1
+	for i, c := range crashes {
+		_, explained := p.explained[idOf(c)]
+		if explained && !c.Alone && (heaviest < 0 || crashWeight(c) > crashWeight(crashes[heaviest])) {
+			heaviest = i
+		}
+	}
+	if heaviest < 0 {
+		return crashes
+	}
+	return slices.Delete(slices.Clone(crashes), heaviest, heaviest+1)
+}
+
 // lostRun is a run that was lost with its worker.
 type lostRun struct {
 	task  *task
@@ -210,6 +250,9 @@
 	crashes := j.progress.AddCrash(u.position(), l.crash)
 	p.markDirty(j)
 	p.updateSuspicion(u)
+	if l.crash.Alone {
+		p.explain(u, now)
+	}
 	if u.suspicion != unsuspected {
 		p.emit(Event{
 			Kind: "task_suspected", Task: u.ref(), Run: l.crash.Run, Worker: l.crash.Worker,
