Use idle workers for suspected tasks, and keep others away from them

Tasks that nobody suspects were placed beside suspected ones, were lost with them and were suspected in turn. Each pass searched a worker for each of the suspected tasks: 0.9 ms with 1,000 of them. Change: if nothing else waits for capacity, suspected tasks may take nearly all workers that respond, two on one at once; otherwise the limits hold as before, and leave the last worker that responds. Suspected tasks and others are placed on different workers if there is room. A pass ends the search for suspected tasks like one that found no worker. The new tests of trial_test.go failed before; mutants of each limit are caught.

--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -127,6 +127,7 @@
 	p.startsDeferred, p.searches = false, 0
 	p.ready.update(now)
 	var full noCapacity
+	p.fullApart = noCapacity{}
 	for i := range p.ready.ranked {
 		if p.startLimitReached() {
 			return
@@ -139,24 +140,26 @@
 		if r.step.spec.Gang {
 			p.placeGang(r.step, now)
 		} else {
-			placed = p.placeStep(r.step, now)
+			placed = p.placeStep(r, now)
 		}
 		if !placed {
 			full.record(r)
 		}
 	}
+	p.full = full.known
 }
 
 // placeStep starts the waiting tasks of a step for which there is a worker. It returns false if a
-// task that has not failed before found no worker, so that the capacity of the pool is used up for
-// tasks like it.
-func (p *Pool) placeStep(s *stepRun, now clock.Millis) bool {
+// task that has not failed before and is not suspected found no worker, so that the capacity of the
+// pool is used up for tasks like it.
+func (p *Pool) placeStep(r *rankedStep, now clock.Millis) bool {
+	s := r.step
 	if s.job.policy.Advised {
 		p.requestAdvice(s, now)
 	}
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state != waiting || t.suspicion == startAlone || (t.suspicion == startApart && p.apartLeft <= 0) {
+		if t.state != waiting || t.suspicion == startAlone || (t.suspicion == startApart && p.fullApart.covers(r.needs)) {
 			continue
 		}
 		if !p.withinAllowance(s, 1) || p.startLimitReached() {
@@ -164,7 +167,10 @@
 		}
 		w := p.chooseWorker(t, now)
 		if w == nil {
-			if len(t.failedOn) == 0 {
+			switch {
+			case t.suspicion == startApart:
+				p.fullApart.record(r)
+			case len(t.failedOn) == 0:
 				return false // the other tasks of the step have the same needs
 			}
 			continue
@@ -271,7 +277,7 @@
 			continue
 		}
 		siblings, ok := p.eligible(t, w, now)
-		if !ok || p.starterBusy(w) {
+		if !ok || p.starterBusy(w) || (t.unit().suspicion == startApart && !p.mayStartApart(w, now)) {
 			continue
 		}
 		cost := p.cost(t, w, siblings, now)
@@ -299,7 +305,7 @@
 // Costs of a placement. No sum of the lower ones reaches the next higher one.
 const (
 	costFailedBefore = 1 << 50 // the task failed on the worker before
-	costSuspect      = 1 << 48 // a suspected task was started on the worker a short time ago
+	costSuspect      = 1 << 48 // a suspected task runs on the worker, or two were started there at once
 	costOtherRack    = 1 << 45 // on another rack than the data or the rest of the step
 	costSibling      = 1 << 38 // a long-running task on the same worker as another of its step
 	costInterference = 1 << 32 // a best-effort task on the same worker as a serving task
@@ -314,7 +320,8 @@
 	if t.failedOn[w] {
 		c += costFailedBefore
 	}
-	if w.suspectAt != 0 && now-w.suspectAt < startupTime {
+	suspected := t.unit().suspicion != unsuspected
+	if (!suspected && w.suspects > 0) || (suspected && w.hasStartedApart(now)) {
 		c += costSuspect
 	}
 	spec := t.step.spec
@@ -330,8 +337,8 @@
 		c += int64(w.countServing())*costInterference + int64(w.countBestEffort())*costInterference/4 + int64(len(w.tasks))
 	case spec.LongRunning:
 		c += int64(siblings)*costSibling + w.used.CPU
-	case t.unit().suspicion != unsuspected:
-		c += int64(len(w.tasks))*costInterference + w.used.CPU
+	case suspected:
+		c += int64(len(w.tasks)-w.suspects)*costInterference + w.used.CPU
 	default:
 		c += free.CPU
 	}
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -63,13 +63,15 @@
 	suspects  []*task // units that are suspected to crash their workers
 	trials    []*trial
 	apart     []*trialStart // starts of tasks that start apart, which are being recorded
-	apartLeft int           // tasks that may be started apart in the current pass
+	full      bool          // the last complete pass found no worker for a task that is not suspected
+	fullApart noCapacity    // of the current pass, for tasks that start apart
+	apartLeft int           // more workers on which tasks may be started apart in the current pass
 	// trialsPassed is the balance of recent trials; see newTrialLimits.
 	trialsPassed int
 	unresolved   []unresolvedTrial
 	doubts       map[fleet.InstanceID]*doubt
+	crashedAt    map[string]clock.Millis  // by machine, of workers that have crashed a short time ago
 	explained    map[crashID]clock.Millis // when crashes were put down to a task that crashed a worker alone
-	crashedAt    map[string]clock.Millis // by machine, of workers that have crashed a short time ago
 }
 
 // New returns an empty pool. Tasks of recovered jobs do not start before [Pool.FinishRecovery] is
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -51,6 +51,7 @@
 	// not stop it.
 	mayBeStopping bool
 	adoptedAt     clock.Millis
+	placedSuspect bool // suspected when it was assigned to its worker
 	// Of a task, or of the first task of a gang:
 	suspicion suspicion
 	doubts    int // runs lost with workers that were silent and may have crashed
--- a/schedule/trial.go
+++ b/schedule/trial.go
@@ -54,23 +54,40 @@
 // that have done nothing, and wait less; while the suspects crash their workers, few trials take place
 // at once.
 func newTrialLimits(c workerCounts, passed int) trialLimits {
-	if c.all == 1 {
-		return trialLimits{all: 1, reserved: 1}
-	}
 	workers := c.responding + c.downByTrials
-	return trialLimits{all: min((workers-c.apart)/2, minTrials+passed), reserved: max(1, workers/8)}
+	all := min((workers-c.apart)/2, minTrials+passed)
+	return trialLimits{all: max(c.least(), all), reserved: max(1, workers/8)}
 }
 
-// maxApart returns how many more tasks may be started apart, each on another worker, beside the trials
-// that may yet crash their workers. There are none while less than half of the pool's workers respond.
-func maxApart(c workerCounts, activeTrials int) int {
-	switch {
-	case c.all == 1:
-		return 1
-	case 2*c.responding < c.all:
+// maxApartWorkers returns on how many more workers tasks may be started apart, beside the trials that
+// may yet crash their workers. If no other task waits for capacity, few workers are left to tasks to
+// come; otherwise half of those that respond are, and all while less than half of the pool's do.
+func maxApartWorkers(c workerCounts, activeTrials int) int {
+	if !c.full {
+		return c.responding - min(c.all-1, 1+c.responding/8) - c.apart - activeTrials
+	}
+	if 2*c.responding < c.all {
 		return 0
 	}
-	return c.responding/2 - c.apart - activeTrials
+	return max(c.least(), c.responding/2) - c.apart - activeTrials
+}
+
+// stackedApart is the number of tasks that may be started apart on one worker within startupTime, if no
+// other task waits for capacity. More would leave many tasks suspected if one of them crashes the
+// worker.
+const stackedApart = 2
+
+// mayStartApart reports whether a task may be started apart on a worker now.
+func (p *Pool) mayStartApart(w *worker, now clock.Millis) bool {
+	if !w.hasStartedApart(now) {
+		return p.apartLeft > 0
+	}
+	return !p.full && w.startedApart < stackedApart
+}
+
+// hasStartedApart reports whether a task was started apart on the worker within startupTime.
+func (w *worker) hasStartedApart(now clock.Millis) bool {
+	return w.suspectAt != 0 && now-w.suspectAt < startupTime
 }
 
 // workerCounts are numbers of workers that stay in the pool.
@@ -79,13 +96,24 @@
 	responding   int
 	downByTrials int // that do not respond any more since a trial
 	apart        int // on which a task was started apart within startupTime
+
+	full bool // tasks that nobody suspects wait for capacity
 }
 
-// countWorkers counts the workers that are neither cordoned nor draining.
+// least returns the number of suspected tasks that may take a worker in any case: one, if no other task
+// waits for capacity, or if there is only one worker.
+func (c workerCounts) least() int {
+	if c.full && c.all > 1 {
+		return 0
+	}
+	return 1
+}
+
+// countWorkers counts the workers that have responded and are neither cordoned nor draining.
 func (p *Pool) countWorkers(now clock.Millis) workerCounts {
-	var c workerCounts
+	c := workerCounts{full: p.full}
 	for _, w := range p.sortedWorkers {
-		if w.cordoned || w.Draining {
+		if !w.responded || w.cordoned || w.Draining {
 			continue
 		}
 		c.all++
@@ -94,7 +122,7 @@
 		} else if w.trial != nil && w.trial.unresponsive() {
 			c.downByTrials++
 		}
-		if w.suspectAt != 0 && now-w.suspectAt < startupTime {
+		if w.hasStartedApart(now) {
 			c.apart++
 		}
 	}
@@ -122,8 +150,12 @@
 	t.run = max(t.run, p.RunBase) + 1
 	p.assign(t, w, recording, now)
 	p.recordTrialOf(t, w, false)
+	if !w.hasStartedApart(now) {
+		w.startedApart = 0
+		p.apartLeft--
+	}
 	w.suspectAt = now
-	p.apartLeft--
+	w.startedApart++
 	p.apart = append(p.apart, &trialStart{task: t, worker: w, run: t.run})
 }
 
@@ -172,7 +204,7 @@
 			active++
 		}
 	}
-	p.apartLeft = maxApart(counts, active)
+	p.apartLeft = maxApartWorkers(counts, active)
 }
 
 // beginTrials begins the trials that the limits permit.
--- a/schedule/trial_test.go
+++ b/schedule/trial_test.go
@@ -211,6 +211,50 @@
 	s.checkOtherJobs()
 }
 
+// atStart is the crash of a worker just after the start of several runs.
+var atStart = job.Crash{Worker: "a", Age: 10, Peers: 3}
+
+// Guards against suspected tasks that wait although nothing else uses the pool: more than half of its
+// workers are down, and many tasks were lost with them.
+func TestSuspectsUseIdlePool(t *testing.T) {
+	s := newCrashSimulation(t, 22)
+	for _, w := range s.workers[8:] {
+		s.crash(w)
+		w.restartAt = 1 << 40
+	}
+	for range 300 {
+		s.addSuspect(atStart)
+	}
+	s.run(recoveryTime)
+	s.checkOtherJobs()
+}
+
+// Guards against other tasks that are lost, and are suspected in turn, because they were placed beside
+// one that is suspected although there was room elsewhere.
+func TestOthersKeepAwayFromSuspects(t *testing.T) {
+	s := newCrashSimulation(t, 4)
+	s.runTime = 10_000
+	suspect := s.ref(s.addSuspect(atStart), 0)
+	s.runUntil(func() bool { return s.workerOf(suspect) != nil })
+	s.run(1000)
+	s.add(40)
+	s.run(100)
+	must.MapLen(t, 1, s.workerOf(suspect).runs)
+	s.add(20)
+	s.run(100)
+	must.Greater(t, 1, len(s.workerOf(suspect).runs), must.Sprint("the other workers are full"))
+}
+
+// workerOf returns the worker that runs a task, or nil.
+func (s *crashSimulation) workerOf(ref job.Ref) *simulatedWorker {
+	for _, w := range s.workers {
+		if w.runs[ref] != nil {
+			return w
+		}
+	}
+	return nil
+}
+
 // Guards against tasks that have done nothing and wait until others have crashed the workers: those
 // that were lost beside more starts go first.
 func TestLeastLikelySuspectsGoFirst(t *testing.T) {
@@ -229,6 +273,69 @@
 	must.Eq(t, []job.ID{jobID(first), jobID(second), jobID(third)}, order)
 }
 
+// Guards against suspected tasks that take the last worker that responds while others wait for
+// capacity.
+func TestSuspectsLeaveLastWorkerToOthers(t *testing.T) {
+	s := newCrashSimulation(t, 3)
+	s.add(400)
+	for _, w := range s.workers[1:] {
+		s.crash(w)
+		w.restartAt = 1 << 40
+	}
+	s.run(100)
+	suspect := s.ref(s.addSuspect(atStart, atStart), 0)
+	s.deadly[suspect] = true
+	s.run(5000)
+	must.Eq(t, 0, s.starts[suspect])
+	s.workers[1].restartAt = s.now
+	s.run(10_000)
+	must.Greater(t, 0, s.starts[suspect])
+}
+
+// Guards against starts of many suspected tasks on one worker at once: all of them would stay
+// suspected if one crashes it. While other tasks wait for capacity, each has its own worker.
+func TestFewSuspectsStartOnOneWorkerAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		waiting int64 // millicores of another task that waits
+		want    int   // suspected tasks that start on one worker at once
+	}{{0, 2}, {65_000, 1}} {
+		s := newCrashSimulation(t, 8)
+		other := newStep(1)
+		other.Needs.CPU = c.waiting
+		s.addSteps(other)
+		s.run(100)
+		for range 40 {
+			s.addSuspect(atStart)
+		}
+		most := 0
+		s.onStart = func(w *simulatedWorker) {
+			started := 0
+			for ref, r := range w.runs {
+				if ref.Job != jobID(1) && r.end >= s.now+s.runTime-100 {
+					started++
+				}
+			}
+			most = max(most, started)
+		}
+		s.run(5000)
+		must.Eq(t, c.want, most, must.Sprintf("a task of %d millicores waits", c.waiting))
+	}
+}
+
+// Guards against passes that search workers for each of many suspected tasks in a full pool.
+func TestPassesSearchFewWorkersForSuspects(t *testing.T) {
+	s := newCrashSimulation(t, 8)
+	wide := newStep(1)
+	wide.Needs.CPU = 65_000
+	s.addSteps(wide)
+	s.run(100)
+	for range 200 {
+		s.addSuspect(atStart)
+	}
+	s.onStep = func() { must.Less(t, 20, s.pool.Searches()) }
+	s.run(500)
+}
+
 // BenchmarkPlanWithSuspects plans a full pool of 240 workers in which tasks are suspected after bursts of
 // crashes, and none can start: after one burst they are to start apart, after two in trials.
 func BenchmarkPlanWithSuspects(b *testing.B) {
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -44,6 +44,8 @@
 	avoidUntil       clock.Millis   // no starts before this time, after repeated failures
 	unlisted         bool           // its entry is gone or names another incarnation
 	suspectAt        clock.Millis   // when a task that is to start apart was last started there
+	suspects         int            // suspected tasks that occupy the worker
+	startedApart     int            // tasks that were started apart there around suspectAt
 	trial            *trial         // nothing else is started during it; nil if there is none
 }
 
@@ -84,6 +86,10 @@
 // reserve records that the task occupies the worker.
 func (w *worker) reserve(t *task) {
 	w.tasks[t] = true
+	if t.unit().suspicion != unsuspected {
+		t.placedSuspect = true
+		w.suspects++
+	}
 	w.used = w.used.Add(t.needs())
 	w.index.update(w)
 	t.worker = w
@@ -95,6 +101,10 @@
 		return
 	}
 	delete(w.tasks, t)
+	if t.placedSuspect {
+		t.placedSuspect = false
+		w.suspects--
+	}
 	w.used = w.used.Sub(t.needs())
 	w.index.update(w)
 	t.worker = nil
