Keep machines for late tasks that wait because of crashes

Cause: tasks that were lost in crashes and start with care soon count as late, and late tasks are no demand: the pool lost machines while they waited. Change: suspected tasks that are late count as demand, up to the free CPU of the workers that may take tasks, so the pool does not grow for them. Result: TestLateSuspectsKeepMachines failed before. Mutants caught: not counted; counted without the bound.

--- a/schedule/load.go
+++ b/schedule/load.go
@@ -58,9 +58,37 @@
 			l.Active += need
 		}
 	}
+	// Tasks that were lost in crashes and wait to start with care keep the pool from shrinking under
+	// them, but do not let it grow.
+	l.Active += min(p.suspectedNeeds(now), p.freeCPU(now))
 	return l
 }
 
+// suspectedNeeds returns the millicores that suspected tasks wait for and are too late to count in
+// Load.Active.
+func (p *Pool) suspectedNeeds(now clock.Millis) int64 {
+	var sum int64
+	for _, u := range p.suspects {
+		for _, t := range u.tasksOfUnit() {
+			if t.state == waiting && !t.step.spec.BestEffort && !t.step.spec.LongRunning && t.step.rank(now).class == classLate {
+				sum += t.needs().CPU
+			}
+		}
+	}
+	return sum
+}
+
+// freeCPU returns the millicores that no task occupies on the workers that may take tasks.
+func (p *Pool) freeCPU(now clock.Millis) int64 {
+	var sum int64
+	for _, w := range p.sortedWorkers {
+		if w.isUsable(now) {
+			sum += max(0, w.free().CPU)
+		}
+	}
+	return sum
+}
+
 // Teams returns the load of each team. Teams that use and want nothing are left out.
 func (p *Pool) Teams() map[fleet.TeamID]TeamLoad {
 	out := map[fleet.TeamID]TeamLoad{}
--- a/schedule/suspicion.go
+++ b/schedule/suspicion.go
@@ -79,6 +79,18 @@
 	return t
 }
 
+// tasksOfUnit returns the tasks for which a unit stands.
+func (t *task) tasksOfUnit() []*task {
+	if !t.step.spec.Gang {
+		return []*task{t}
+	}
+	out := make([]*task, len(t.step.tasks))
+	for i := range out {
+		out[i] = &t.step.tasks[i]
+	}
+	return out
+}
+
 // crashes returns the crashes that count against the task.
 func (t *task) crashes() []job.Crash {
 	return t.step.job.progress.Crashes[t.unit().position()]
--- a/schedule/trial_test.go
+++ b/schedule/trial_test.go
@@ -336,6 +336,19 @@
 	s.run(500)
 }
 
+// Guards against a pool whose machines are moved away from tasks that were lost in crashes and are too
+// late to count as demand. They count for the capacity that is there.
+func TestLateSuspectsKeepMachines(t *testing.T) {
+	s := newCrashSimulation(t, 2)
+	for range 100 {
+		s.addSuspect(atStart, atStart)
+	}
+	s.now += 60_000
+	must.Eq(t, 128_000, s.pool.Load(s.now).Active)
+	s.pool.SetReachable("w0", false, s.now)
+	must.Eq(t, 64_000, s.pool.Load(s.now).Active, must.Sprint("the pool does not grow for them"))
+}
+
 // BenchmarkPlanWithSuspects plans a full pool of 240 workers in which tasks are suspected after bursts of
 // crashes, and none can start: after one burst they are to start apart, after two in trials.
 func BenchmarkPlanWithSuspects(b *testing.B) {
