--- a/schedule/job.go
+++ b/schedule/job.go
@@ -33,6 +33,7 @@
 	criticalPath   clock.Millis // sum of the estimates on the longest path through the steps
 	dirty          bool
 	trial          *trial // of its suspected tasks; nil if there is none
+	trialDue       bool   // one of its tasks is to start alone
 }
 
 // occurrence is one execution of all steps of a job.
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -159,7 +159,7 @@
 	}
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state != waiting || t.suspicion == startAlone || (t.suspicion == startApart && p.fullApart.covers(r.needs)) {
+		if t.state != waiting || t.startsAlone() || (t.suspicion == startApart && p.fullApart.covers(r.needs)) {
 			continue
 		}
 		if !p.withinAllowance(s, 1) || p.startLimitReached() {
@@ -215,7 +215,7 @@
 	if s.job.policy.Advised {
 		p.requestAdvice(s, now)
 	}
-	if s.waitingTasks < len(s.tasks) || s.tasks[0].suspicion == startAlone || !p.withinAllowance(s, int64(len(s.tasks))) {
+	if s.waitingTasks < len(s.tasks) || s.tasks[0].startsAlone() || !p.withinAllowance(s, int64(len(s.tasks))) {
 		return
 	}
 	run := s.nextRun(p.RunBase)
@@ -277,7 +277,7 @@
 			continue
 		}
 		siblings, ok := p.eligible(t, w, now)
-		if !ok || p.starterBusy(w) || (t.unit().suspicion == startApart && !p.mayStartApart(w, now)) {
+		if !ok || p.starterBusy(w) || (t.unit().suspicion == startApart && !p.mayStartApart(t, w, now)) {
 			continue
 		}
 		cost := p.cost(t, w, siblings, now)
@@ -305,7 +305,7 @@
 // Costs of a placement. No sum of the lower ones reaches the next higher one.
 const (
 	costFailedBefore = 1 << 50 // the task failed on the worker before
-	costSuspect      = 1 << 48 // a suspected task runs on the worker, or two were started there at once
+	costSuspect      = 1 << 48 // a suspected task runs on the worker, or one of another job was just started there
 	costOtherRack    = 1 << 45 // on another rack than the data or the rest of the step
 	costSibling      = 1 << 38 // a long-running task on the same worker as another of its step
 	costInterference = 1 << 32 // a best-effort task on the same worker as a serving task
@@ -321,7 +321,13 @@
 		c += costFailedBefore
 	}
 	suspected := t.unit().suspicion != unsuspected
-	if (!suspected && w.suspects > 0) || (suspected && w.hasStartedApart(now)) {
+	switch {
+	case !suspected && w.suspects > 0:
+		c += costSuspect
+	case !suspected || !w.hasStartedApart(now):
+	case slices.Contains(w.apartJobs, t.step.job):
+		c -= costSuspect // tasks of a job start together
+	default:
 		c += costSuspect
 	}
 	spec := t.step.spec
--- a/schedule/simulation_test.go
+++ b/schedule/simulation_test.go
@@ -284,6 +284,17 @@
 	s.pool.FinishRecovery(s.now)
 }
 
+// startedAlone returns the job of each start in a trial, in their order.
+func (s *crashSimulation) startedAlone() []job.ID {
+	var out []job.ID
+	for _, e := range s.events {
+		if e.Kind == "task_started_alone" {
+			out = append(out, e.Task.Job)
+		}
+	}
+	return out
+}
+
 // The rule of the deployment: a task under which three workers have crashed may crash two more.
 const maxCrashes = 5
 
--- a/schedule/suspicion.go
+++ b/schedule/suspicion.go
@@ -214,20 +214,20 @@
 func (w *worker) lostRuns(now clock.Millis) []lostRun {
 	units := map[*task]bool{}
 	out := make([]lostRun, 0, len(w.tasks))
-	atStart := 0
+	started := map[*Job]bool{} // jobs with a run that had just been started
 	for _, t := range w.sortedTasks() {
 		if t.state != recording && !units[t.unit()] {
 			units[t.unit()] = true
 			l := lostRun{task: t, crash: w.crashOf(t, now)}
 			if l.crash.Age <= startupTime {
-				atStart++
+				started[t.step.job] = true
 			}
 			out = append(out, l)
 		}
 	}
 	for i := range out {
-		out[i].crash.Peers = atStart
-		if out[i].crash.Age <= startupTime {
+		out[i].crash.Peers = len(started)
+		if started[out[i].task.step.job] {
 			out[i].crash.Peers--
 		}
 	}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -45,7 +45,7 @@
 	unlisted         bool           // its entry is gone or names another incarnation
 	suspectAt        clock.Millis   // when a task that is to start apart was last started there
 	suspects         int            // suspected tasks that occupy the worker
-	startedApart     int            // tasks that were started apart there around suspectAt
+	apartJobs        []*Job         // jobs with tasks that were started apart there around suspectAt
 	trial            *trial         // nothing else is started during it; nil if there is none
 }
 
