--- a/schedule/suspicion.go
+++ b/schedule/suspicion.go
@@ -285,7 +285,7 @@
 }
 
 // describeCrashes names the workers that crashed under a task, with the age of the run in
-// milliseconds, and whether it was alone.
+// milliseconds, whether it was alone, and otherwise how many other jobs had just been started.
 func describeCrashes(crashes []job.Crash) string {
 	parts := make([]string, 0, len(crashes))
 	for _, c := range crashes {
@@ -293,8 +293,11 @@
 		if c.Age >= 0 {
 			text += fmt.Sprintf(", after %d ms", c.Age)
 		}
-		if c.Alone {
+		switch {
+		case c.Alone:
 			text += ", alone"
+		case c.Peers > 0:
+			text += fmt.Sprintf(", after the start of %d other jobs", c.Peers)
 		}
 		parts = append(parts, text+")")
 	}
