Count a crash before the answer to a start as one at the start

Cause: the age of a lost run ends when the pool sees that the worker does not respond, which takes long if the connection stays silent. Change: the run of a start that the worker has not answered has gone on until the worker's last response.

--- a/schedule/crash_test.go
+++ b/schedule/crash_test.go
@@ -156,6 +156,18 @@
 	}
 }
 
+// Guards against a crash at the start of a run that counts as a later one, because the pool learned late
+// that the worker was silent: the worker has not answered the start.
+func TestCrashBeforeAnswerIsAtStart(t *testing.T) {
+	s := newCrashSimulation(t, 4)
+	s.silent, s.unanswered = 400, true
+	ref := s.ref(s.add(1), 0)
+	s.deadly[ref] = true
+	s.run(20_000)
+	must.Eq(t, 3, s.starts[ref])
+	s.checkDeadlyJobs()
+}
+
 // Guards against a job that is shown as failed although none of its runs crashed a worker alone: the
 // third crash comes long after its start, and takes a lasting task with it.
 func TestLateCrashBesideOthersFailsNoJob(t *testing.T) {
--- a/schedule/simulation_test.go
+++ b/schedule/simulation_test.go
@@ -24,6 +24,7 @@
 	deadly     map[job.Ref]bool // tasks that crash their workers
 	crashDelay clock.Millis     // from the start of such a task until the crash
 	silent     clock.Millis     // from a crash until the pool learns that the worker does not respond
+	unanswered bool             // starts of such tasks get no answer
 	runTime    clock.Millis     // of the other tasks
 	commitTime clock.Millis     // until changes are durable
 	commitAt   clock.Millis     // when changes are durable; 0 if none are on the way
@@ -230,13 +231,17 @@
 	if s.onStart != nil {
 		s.onStart(w)
 	}
+	outcome := schedule.Accepted
 	if s.deadly[o.Task] {
 		s.starts[o.Task]++
 		if w.crashAt == 0 {
 			w.crashAt = s.now + s.crashDelay
 		}
+		if s.unanswered {
+			outcome = schedule.UnknownOutcome
+		}
 	}
-	s.pool.Answered(*o, schedule.Accepted, s.now)
+	s.pool.Answered(*o, outcome, s.now)
 }
 
 // spec returns the step of a task.
--- a/schedule/suspicion.go
+++ b/schedule/suspicion.go
@@ -236,20 +236,30 @@
 
 // crashOf describes the crash of the worker for one of its runs.
 func (w *worker) crashOf(t *task, now clock.Millis) job.Crash {
-	c := job.Crash{Run: t.run, Worker: w.ID, Incarnation: w.Incarnation, Age: -1}
+	c := job.Crash{Run: t.run, Worker: w.ID, Incarnation: w.Incarnation, Age: w.ageAtCrash(t)}
+	tr := w.trial
+	c.Alone = tr != nil && tr.has(t) && tr.phase == trialRunning && (c.Within(quickCrashAge) || w.runsOnly(tr))
+	return c
+}
+
+// ageAtCrash returns how long a run had gone on when the worker crashed, or a lower bound, or -1 if
+// that is unknown.
+func (w *worker) ageAtCrash(t *task) clock.Millis {
 	started := t.orderedAt
 	if started == 0 {
 		started = t.adoptedAt
 	}
-	switch known := w.unreachableSince != 0 && t.orderedAt != 0; {
-	case known:
-		c.Age = max(0, w.unreachableSince-started)
-	case max(w.unreachableSince, w.respondedAt)-started > startupTime: // it had gone on for at least this long
-		c.Age = max(w.unreachableSince, w.respondedAt) - started
+	responded := max(0, w.respondedAt-started)
+	switch {
+	case t.orderedAt != 0 && w.unreachableSince != 0 && t.startUnanswered():
+		return min(responded, max(0, w.unreachableSince-started)) // it may take long to see that a worker is silent
+	case t.orderedAt != 0 && w.unreachableSince != 0:
+		return max(0, w.unreachableSince-started)
 	}
-	tr := w.trial
-	c.Alone = tr != nil && tr.has(t) && tr.phase == trialRunning && (c.Within(quickCrashAge) || w.runsOnly(tr))
-	return c
+	if known := max(responded, w.unreachableSince-started); known > startupTime {
+		return known
+	}
+	return -1
 }
 
 // recordCrash counts the crash of a worker against the task of a run that was lost with it, and
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -72,6 +72,11 @@
 	return t.state == starting || t.state == running || t.state == stopping
 }
 
+// startUnanswered reports whether the worker has not answered the order to start the run.
+func (t *task) startUnanswered() bool {
+	return t.state == starting || (t.state == stopping && t.stopReason == StopUnanswered)
+}
+
 // isWorking reports whether a long-running task is confirmed to do its work. The last report
 // of a worker that no longer responds does not count, nor does a run that a former owner may
 // have stopped.
