Keep tasks suspected after a later crash, and after one that was alone

Cause: the newest crash decided whether a task started apart. Change: the weight of all crashes decides; those of a task that has crashed a worker alone all count. TestStartAfterLaterCrashIsRecorded and the last row of TestCrashesAtOtherAgesNeedMoreProof failed before.

--- a/schedule/crash_test.go
+++ b/schedule/crash_test.go
@@ -115,7 +115,7 @@
 	for _, c := range []struct {
 		delay clock.Millis // of each crash after the one before
 		want  int
-	}{{30, 2}, {100, 3}} {
+	}{{30, 2}, {100, 3}, {200, 3}} {
 		s := newCrashSimulation(t, 4)
 		beside := job.Crash{Worker: "a", Age: 10, Peers: 1}
 		ref := s.ref(s.addSuspect(beside, beside), 0)
@@ -123,6 +123,7 @@
 		s.onStart = func(*simulatedWorker) { s.crashDelay += c.delay }
 		s.run(30_000)
 		must.Eq(t, c.want, s.starts[ref], must.Sprintf("each crash %d ms later", c.delay))
+		must.Len(t, c.want, s.startedAlone(), must.Sprint("each start after that of a run that was alone is alone, too"))
 		s.checkDeadlyJobs()
 	}
 }
--- a/schedule/suspicion.go
+++ b/schedule/suspicion.go
@@ -43,12 +43,13 @@
 	blameCrashes = 3 // the least number if one of two runs that were lost at the same age was not alone
 )
 
-// Weights of crashes in the suspicion against a task, and the sum from which on it is started alone.
+// Weights of crashes in the suspicion against a task, and the sums from which on it is started with care.
 // The longer a run had gone on, the less likely it has caused the crash of its worker.
 const (
 	weightAtStart  = 3 // within startupTime, or at an unknown age
 	weightLater    = 2 // before provenAge
 	weightProven   = 1 // after it
+	apartFromTotal = 3
 	aloneFromTotal = 6
 )
 
@@ -142,19 +143,24 @@
 // suspicionOf decides how a task is started next, from its crashes, those of them that count, and the
 // number of its runs that were lost with workers that may have crashed.
 func suspicionOf(crashes, counted []job.Crash, doubts int) suspicion {
-	total := doubts * weightLater
-	for _, c := range counted {
-		total += crashWeight(c)
-	}
 	switch {
-	case total >= aloneFromTotal:
+	case totalWeight(counted)+doubts*weightLater >= aloneFromTotal:
 		return startAlone
-	case len(crashes) > 0 && crashes[len(crashes)-1].Age <= startupTime:
+	case totalWeight(crashes) >= apartFromTotal:
 		return startApart
 	}
 	return unsuspected
 }
 
+// totalWeight returns the weight of crashes in the suspicion against the task of the lost runs.
+func totalWeight(crashes []job.Crash) int {
+	total := 0
+	for _, c := range crashes {
+		total += crashWeight(c)
+	}
+	return total
+}
+
 // crashWeight returns the weight of a crash in the suspicion against the task of a lost run.
 func crashWeight(c job.Crash) int {
 	switch {
@@ -186,15 +192,17 @@
 	}
 }
 
-// unexplained returns the crashes of a unit that count: all but the heaviest one that is put down to a
-// task. Only one is left out: two tasks that crash their workers may be lost together. What is left
-// suffices to start a task alone that has crashed a worker alone.
+// unexplained returns the crashes of a unit that count: all but the heaviest one that is put down to
+// another task. Only one is left out: two tasks that crash their workers may be lost together.
 func (p *Pool) unexplained(u *task) []job.Crash {
 	crashes := u.crashes()
+	if slices.ContainsFunc(crashes, func(c job.Crash) bool { return c.Alone }) {
+		return crashes // they are put down to this task
+	}
 	heaviest := -1
 	for i, c := range crashes {
 		_, explained := p.explained[idOf(c)]
-		if explained && !c.Alone && (heaviest < 0 || crashWeight(c) > crashWeight(crashes[heaviest])) {
+		if explained && (heaviest < 0 || crashWeight(c) > crashWeight(crashes[heaviest])) {
 			heaviest = i
 		}
 	}
--- a/schedule/trial_test.go
+++ b/schedule/trial_test.go
@@ -126,6 +126,19 @@
 	must.Len(t, 2, s.durable[ref.Job].Crashes[job.Position{}])
 }
 
+// Guards against a third crash that is forgotten in the same way, because the second one came a little
+// later after the start than the first one.
+func TestStartAfterLaterCrashIsRecorded(t *testing.T) {
+	s := newCrashSimulation(t, 4)
+	ref := s.ref(s.addSuspect(job.Crash{Worker: "a", Age: 10}, job.Crash{Worker: "b", Age: 165}), 0)
+	s.deadly[ref] = true
+	s.runUntil(func() bool { return s.starts[ref] == 1 })
+	s.run(100)
+	s.replaceOwner(2)
+	s.run(workerDowntime)
+	must.Len(t, 3, s.durable[ref.Job].Crashes[job.Position{}])
+}
+
 // Guards against a second start while the store does not take the record of the first crash: the owner
 // is lost before it does, and both crashes are forgotten.
 func TestSuspectsDoNotStartWithoutStore(t *testing.T) {
