Report when a worker stopped responding, not when that was noticed

Cause: a session sends no poll for 150 ms if ended runs are not durable yet. Change: if the first failed poll could not be sent, the worker stopped responding at its last response; otherwise when the poll broke, instead of at the second failed poll. Dispatchers pass the time on. Result: TestSessionKnowsWhenWorkerStoppedResponding failed before. Mutants caught: the time of the failed poll; the time of the second one.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -190,12 +190,12 @@
 		FormerLeasesEnd: d.Clock.Now() + given.FormerLeases, Authorized: d.authorized,
 		Report:  func(ctx context.Context, r schedule.Report) uint64 { return d.report(ctx, a, r) },
 		Durable: func() uint64 { return d.durableFor(a) },
-		Reachable: func(yes bool) {
+		Reachable: func(yes bool, since clock.Millis) {
 			kind := Unreachable
 			if yes {
 				kind = Reachable
 			}
-			d.add(a, Event{Kind: kind})
+			d.add(a, Event{Kind: kind, At: since})
 		},
 		Lost: func(reason string) { d.add(a, Event{Kind: IncarnationLost, Detail: reason}) },
 		Expired: func() bool {
@@ -295,7 +295,10 @@
 
 // addLocked is add for callers that hold d.mu.
 func (d *Dispatcher) addLocked(a *assignment, e Event) {
-	e.Assignment, e.At = a.ID, d.Clock.Now()
+	e.Assignment = a.ID
+	if e.At == 0 {
+		e.At = d.Clock.Now()
+	}
 	d.events = append(d.events, e)
 	select {
 	case d.eventsWaiting <- struct{}{}:
--- a/owner/sessions.go
+++ b/owner/sessions.go
@@ -64,9 +64,11 @@
 	s.own = worker.NewSession(worker.Config{
 		Calls: o.Calls, Target: worker.Target{ID: s.worker, Address: s.address}, Incarnation: s.incarnation, Clock: o.Clock,
 		Fence: o.Lease.Fence(), PollWait: o.PollWait, Log: o.Log, Authorized: o.mayGiveOrders, FormerLeasesEnd: now + o.formerLeases(now),
-		Report:    func(ctx context.Context, r schedule.Report) uint64 { return o.handleReport(ctx, s, r) },
-		Durable:   o.lastDurableChange,
-		Reachable: func(yes bool) { o.ifCurrent(s, func(now clock.Millis) { o.pool.SetReachable(s.worker, yes, now) }) },
+		Report:  func(ctx context.Context, r schedule.Report) uint64 { return o.handleReport(ctx, s, r) },
+		Durable: o.lastDurableChange,
+		Reachable: func(yes bool, since clock.Millis) {
+			o.ifCurrent(s, func(clock.Millis) { o.pool.SetReachable(s.worker, yes, since) })
+		},
 		Lost: func(reason string) {
 			o.ifCurrent(s, func(now clock.Millis) { o.loseIncarnation(s.worker, reason, now) })
 		},
--- a/worker/session.go
+++ b/worker/session.go
@@ -45,8 +45,9 @@
 	Report func(ctx context.Context, r schedule.Report) (change uint64)
 	// Durable returns the number of the newest durable change.
 	Durable func() uint64
-	// Reachable is called when the worker becomes reachable or unreachable.
-	Reachable func(yes bool)
+	// Reachable is called when the worker becomes reachable or unreachable. since is when it began or
+	// stopped to respond.
+	Reachable func(yes bool, since clock.Millis)
 	// Lost is called once, when it is certain that nothing runs on the incarnation any more.
 	Lost func(reason string)
 	// Expired is called when all leases that this session gave have expired. It reports whether
@@ -68,10 +69,12 @@
 	durableThrough  int64         // highest number up to which all ended runs are durable
 	pending         []pendingEnds // reported ended runs that may not be durable yet
 	reachable       bool
-	failedPolls     int  // failed polls in a row
-	expired         bool // Expired has recorded the expiry of the lease
-	startsBlocked   bool // Expired may have recorded it; see Order
-	listed          bool // a report has contained the running runs; the latest one was requested at listedAt
+	failedPolls     int          // failed polls in a row
+	respondedAt     clock.Millis // when the worker last responded
+	silentSince     clock.Millis // when it stopped responding, if polls have failed since
+	expired         bool         // Expired has recorded the expiry of the lease
+	startsBlocked   bool         // Expired may have recorded it; see Order
+	listed          bool         // a report has contained the running runs; the latest one was requested at listedAt
 	listedAt        clock.Millis
 }
 
@@ -165,10 +168,10 @@
 	s.mu.Lock()
 	s.lease.observeClock(workerClock, requestedAt, now)
 	wasReachable := s.reachable
-	s.reachable, s.expired, s.failedPolls = true, false, 0
+	s.reachable, s.expired, s.failedPolls, s.respondedAt = true, false, 0, now
 	s.mu.Unlock()
 	if !wasReachable {
-		s.Reachable(true)
+		s.Reachable(true, now)
 	}
 }
 
@@ -177,6 +180,10 @@
 	s.mu.Lock()
 	wasReachable := s.reachable
 	s.failedPolls++
+	if s.failedPolls == 1 {
+		s.silentSince = s.endOfResponses(now, err)
+	}
+	since := s.silentSince
 	s.reachable = wasReachable && s.failedPolls < unreachableAfter
 	becameUnreachable := wasReachable && !s.reachable
 	leaseEnd := s.lease.latestEnd()
@@ -185,7 +192,7 @@
 	s.mu.Unlock()
 	if becameUnreachable {
 		s.Log.Warn("worker: polls get no response", "worker", s.Target.ID, "lease_ends_in_ms", int64(leaseEnd-now), "err", err)
-		s.Reachable(false)
+		s.Reachable(false, since)
 	}
 	if expired {
 		recorded := s.Expired()
@@ -195,6 +202,16 @@
 	}
 }
 
+// endOfResponses returns when a worker stopped responding whose poll has failed now. A poll that was sent
+// breaks as the worker ends. One that could not be sent was made some time after that.
+func (s *Session) endOfResponses(now clock.Millis, err error) clock.Millis {
+	var notSent *NotSentError
+	if errors.As(err, &notSent) && s.respondedAt != 0 {
+		return s.respondedAt
+	}
+	return now
+}
+
 // unreachableAfter is the number of failed polls in a row after which a worker counts as
 // unreachable. Single responses get lost while the worker goes on working.
 const unreachableAfter = 2
@@ -277,11 +294,12 @@
 		s.Log.Warn("worker: no response to an order", "order", o.Kind.String(), "task", o.Task.String(), "run", o.Run, "worker", s.Target.ID, "err", err)
 		return schedule.UnknownOutcome, 0
 	}
+	s.mu.Lock()
+	s.respondedAt = s.Clock.Now()
 	if answer.Clock != 0 {
-		s.mu.Lock()
-		s.lease.observeClock(answer.Clock, requestedAt, s.Clock.Now())
-		s.mu.Unlock()
+		s.lease.observeClock(answer.Clock, requestedAt, s.respondedAt)
 	}
+	s.mu.Unlock()
 	return s.outcome(answer.Result), answer.Result
 }
 
--- a/worker/session_test.go
+++ b/worker/session_test.go
@@ -63,7 +63,7 @@
 			var reports []bool
 			var pollTimes []time.Time
 			s := newSession(fake, make(chan time.Time, 1))
-			s.Reachable = func(yes bool) { reports = append(reports, yes) }
+			s.Reachable = func(yes bool, _ clock.Millis) { reports = append(reports, yes) }
 			s.Report = func(context.Context, schedule.Report) uint64 {
 				pollTimes = append(pollTimes, time.Now())
 				return 0
@@ -133,11 +133,55 @@
 		Authorized: func() bool { return true },
 		Report:     func(context.Context, schedule.Report) uint64 { return 0 },
 		Durable:    func() uint64 { return 0 },
-		Reachable:  func(bool) {},
+		Reachable:  func(bool, clock.Millis) {},
 		Expired:    func() bool { expired <- time.Now(); return true },
 	})
 }
 
+// Guards against a worker that seems to have stopped responding later than it did: the time decides
+// which of its runs had just been started. A session sends no poll for a while if ended runs are not
+// durable yet, and then finds no connection.
+func TestSessionKnowsWhenWorkerStoppedResponding(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		err  error
+		want time.Duration // after the last response, which takes 40 ms to process
+	}{
+		{"poll not sent", &worker.NotSentError{Err: errors.New("refused")}, 0},
+		{"poll broken after 100 ms", errors.New("EOF"), 140 * time.Millisecond},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			fake := &fakeWorker{}
+			s := newSession(fake, make(chan time.Time, 1))
+			var responded, since clock.Millis
+			s.Calls.Poll = func(ctx context.Context, target worker.Target, r worker.PollRequest) (worker.PollResponse, error) {
+				if s.Clock.Now() > responded && responded != 0 {
+					time.Sleep(100 * time.Millisecond)
+					return worker.PollResponse{}, c.err
+				}
+				response, err := fake.poll(ctx, target, r)
+				responded = s.Clock.Now()
+				return response, err
+			}
+			s.Report = func(context.Context, schedule.Report) uint64 {
+				time.Sleep(40 * time.Millisecond)
+				return 0
+			}
+			s.Reachable = func(yes bool, at clock.Millis) {
+				if !yes {
+					since = at
+				}
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := startSession(ctx, s)
+			time.Sleep(2 * time.Second)
+			cancel()
+			<-ended
+			must.Eq(t, c.want, (since - responded).Duration(), must.Sprint(c.name))
+		})
+	}
+}
+
 // Guards against polls that renew the lease of an unresponsive worker. Its lease then never
 // expired, and its tasks never started on another worker.
 func TestLeaseOfUnresponsiveWorkerExpires(t *testing.T) {
@@ -208,7 +252,7 @@
 		expired := make(chan time.Time, 1)
 		s := worker.NewSession(worker.Config{
 			Calls: worker.Calls{Poll: fake.poll}, Fence: 1, Log: slog.New(slog.DiscardHandler), FormerLeasesEnd: clock.Clock{}.Now() + 5000,
-			Authorized: func() bool { return true }, Reachable: func(bool) {},
+			Authorized: func() bool { return true }, Reachable: func(bool, clock.Millis) {},
 			Expired: func() bool { expired <- time.Now(); return true },
 		})
 		started := time.Now()
