Let tasks that are likely causes of crashes not wait for trials for ever

Cause: trials of the least likely suspects came first at all times. Change: a wait of 5 s makes up for each crash of which a task is the likely cause. Result: TestLikelySuspectsGoAfterWait failed before (mutant: no wait).

--- a/schedule/trial.go
+++ b/schedule/trial.go
@@ -237,7 +237,7 @@
 	if limits.all <= 0 {
 		return
 	}
-	candidates := p.trialCandidates()
+	candidates := p.trialCandidates(now)
 	if len(candidates) == 0 {
 		return
 	}
@@ -265,30 +265,39 @@
 const maxTrialSearches = 32
 
 // trialCandidates returns the suspected tasks that wait for a start. Those that are least likely to
-// crash another worker come first.
-func (p *Pool) trialCandidates() []*task {
+// crash another worker come first, and the more likely ones later, but not after all that follow.
+func (p *Pool) trialCandidates(now clock.Millis) []*task {
 	var out []*task
 	for _, u := range p.suspects {
 		if u.suspicion == startAlone && u.needsTrial() {
 			out = append(out, u)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b *task) int { return cmp.Compare(likelihood(a.crashes()), likelihood(b.crashes())) })
+	slices.SortStableFunc(out, func(a, b *task) int { return cmp.Compare(a.trialPrecedence(now), b.trialPrecedence(now)) })
 	return out
 }
 
-// likelihood orders suspected tasks by how likely they are the cause of their crashes: each crash at the
-// start of a run counts by the number of runs that may have caused it, and one of a run that was alone
-// counts twice.
+// trialAging is the wait that makes up for a crash of which a task was the likely cause.
+const trialAging clock.Millis = 5000
+
+// trialPrecedence orders tasks that wait for trials; the lowest comes first.
+func (t *task) trialPrecedence(now clock.Millis) clock.Millis {
+	return trialAging*clock.Millis(likelihood(t.crashes()))/wholeCrash - (now - t.stateSince)
+}
+
+// wholeCrash is the likelihood of a task that was the only one to have been started before a crash.
+const wholeCrash = 60
+
+// likelihood returns how likely a task is the cause of its crashes: each crash at the start of a run
+// counts by the number of jobs that may have caused it, and one of a run that was alone counts twice.
 func likelihood(crashes []job.Crash) int {
-	const whole = 60
 	sum := 0
 	for _, c := range crashes {
 		switch {
 		case c.Alone:
-			sum += 2 * whole
+			sum += 2 * wholeCrash
 		case c.Age <= startupTime:
-			sum += whole / (1 + c.Peers)
+			sum += wholeCrash / (1 + c.Peers)
 		}
 	}
 	return sum
--- a/schedule/trial_test.go
+++ b/schedule/trial_test.go
@@ -280,6 +280,19 @@
 	must.Eq(t, []job.ID{jobID(first), jobID(second), jobID(third)}, s.startedAlone())
 }
 
+// Guards against a task that waits for its trial as long as less likely ones keep coming.
+func TestLikelySuspectsGoAfterWait(t *testing.T) {
+	s := newCrashSimulation(t, 1)
+	sole := job.Crash{Worker: "a", Age: 10}
+	beside := job.Crash{Worker: "a", Age: 10, Peers: 9}
+	likely := s.addSuspect(sole, sole)
+	for range 60 {
+		s.addSuspect(beside, beside)
+		s.run(400)
+	}
+	must.SliceContains(t, s.startedAlone(), jobID(likely))
+}
+
 // Guards against suspected tasks that take the last worker that responds while others wait for
 // capacity.
 func TestSuspectsLeaveLastWorkerToOthers(t *testing.T) {
