Weigh silent losses like crashes until they are resolved

Cause: the loss of a run with a worker that stays silent until its leases have expired weighed the same at any age. Change: such a loss weighs by the age of the run, as a crash does. It still blames nobody, and counts for nothing once the worker responds again. TestSilentLossAtStartLeadsToTrial failed before.

--- a/schedule/suspicion.go
+++ b/schedule/suspicion.go
@@ -131,7 +131,7 @@
 // updateSuspicion derives the suspicion against a unit from its crashes, and adds the unit to the
 // suspects if need be.
 func (p *Pool) updateSuspicion(u *task) {
-	u.suspicion = suspicionOf(u.crashes(), p.unexplained(u), u.doubts)
+	u.suspicion = suspicionOf(u.crashes(), p.unexplained(u), u.doubtWeight)
 	if u.suspicion == startApart && u.step.spec.Gang {
 		u.suspicion = startAlone // its tasks need several workers anyway
 	}
@@ -141,10 +141,10 @@
 }
 
 // suspicionOf decides how a task is started next, from its crashes, those of them that count, and the
-// number of its runs that were lost with workers that may have crashed.
-func suspicionOf(crashes, counted []job.Crash, doubts int) suspicion {
+// weight of its runs that were lost with workers that may have crashed.
+func suspicionOf(crashes, counted []job.Crash, doubtWeight int) suspicion {
 	switch {
-	case totalWeight(counted)+doubts*weightLater >= aloneFromTotal:
+	case totalWeight(counted)+doubtWeight >= aloneFromTotal:
 		return startAlone
 	case totalWeight(crashes) >= apartFromTotal:
 		return startApart
@@ -354,7 +354,7 @@
 	p.doubts[w.ID] = &doubt{incarnation: w.Incarnation, machine: w.Machine, since: now, runs: runs}
 	for _, l := range runs {
 		u := l.task.unit()
-		u.doubts++
+		u.doubtWeight += crashWeight(l.crash)
 		p.updateSuspicion(u)
 	}
 }
@@ -368,7 +368,7 @@
 	delete(p.doubts, id)
 	for _, l := range d.runs {
 		u := l.task.unit()
-		u.doubts--
+		u.doubtWeight -= crashWeight(l.crash)
 		p.updateSuspicion(u)
 		if crashed {
 			p.recordCrash(l, now)
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -53,8 +53,8 @@
 	adoptedAt     clock.Millis
 	placedSuspect bool // suspected when it was assigned to its worker
 	// Of a task, or of the first task of a gang:
-	suspicion suspicion
-	doubts    int // runs lost with workers that were silent and may have crashed
+	suspicion   suspicion
+	doubtWeight int // of runs lost with workers that were silent and may have crashed; see crashWeight
 }
 
 // ref returns the task's reference for orders and reports.
--- a/schedule/trial_test.go
+++ b/schedule/trial_test.go
@@ -126,6 +126,30 @@
 	must.Len(t, 2, s.durable[ref.Job].Crashes[job.Position{}])
 }
 
+// Guards against a task that crashes worker after worker because these stay silent until the leases have
+// expired: such a loss at the start of a run, after a crash at the start of another, is a reason for a
+// trial, unless the worker responds again.
+func TestSilentLossAtStartLeadsToTrial(t *testing.T) {
+	for _, c := range []struct {
+		responds bool
+		trials   int
+	}{{false, 1}, {true, 0}} {
+		s := newCrashSimulation(t, 4)
+		ref := s.ref(s.addSuspect(atStart), 0)
+		s.runUntil(func() bool { return s.workerOf(ref) != nil })
+		w := s.workerOf(ref)
+		s.now += 10
+		s.pool.SetReachable(w.id, false, s.now)
+		s.run(600)
+		must.Len(t, 0, s.startedAlone())
+		w.runs, w.restartAt = nil, 1<<40
+		s.pool.ExpireLeases(w.id, s.now)
+		s.pool.SetReachable(w.id, c.responds, s.now)
+		s.run(3000)
+		must.Len(t, c.trials, s.startedAlone(), must.Sprintf("responds again: %t", c.responds))
+	}
+}
+
 // Guards against a third crash that is forgotten in the same way, because the second one came a little
 // later after the start than the first one.
 func TestStartAfterLaterCrashIsRecorded(t *testing.T) {
