--- a/schedule/trial.go
+++ b/schedule/trial.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"cmp"
 	"slices"
 
 	"citronknot/clock"
@@ -38,156 +37,6 @@
 // aloneTime is the longest time for which the tasks of a trial keep their workers to themselves.
 const aloneTime clock.Millis = 10_000
 
-// trialLimits bounds the trials of a pool, so that suspected tasks leave at least half of it to others:
-// they can take down at most all workers at once, and keep others from reserved ones. A worker that
-// crashes is back after seconds.
-type trialLimits struct {
-	all      int // trials whose workers may yet crash, or do not respond any more
-	reserved int // trials that wait for other runs to end
-}
-
-// minTrials is the number of trials that a pool has at once when nothing is known of their outcomes.
-const minTrials = 2
-
-// newTrialLimits returns the limits of a pool. passed is the balance of recent trials: it grows with
-// each one that passes, and is halved by a crash. After a burst of crashes many tasks are suspected
-// that have done nothing, and wait less; while the suspects crash their workers, few trials take place
-// at once.
-func newTrialLimits(c workerCounts, passed int) trialLimits {
-	workers := c.responding + c.downByTrials
-	all := (workers - c.apart) / 2
-	if c.full {
-		all = min(all, minTrials+passed)
-	}
-	return trialLimits{all: max(c.least(), all), reserved: max(1, workers/8)}
-}
-
-// maxApartWorkers returns on how many more workers tasks may be started apart, beside the trials that
-// may yet crash their workers. If no other task waits for capacity, few workers are left to tasks to
-// come; otherwise half of those that respond are, and all while less than half of the pool's do.
-func maxApartWorkers(c workerCounts, activeTrials int) int {
-	if !c.full {
-		return c.responding - min(c.all-1, 1+c.responding/8) - c.apart - activeTrials
-	}
-	if 2*c.responding < c.all {
-		return 0
-	}
-	return max(c.least(), c.responding/2) - c.apart - activeTrials
-}
-
-// stackedApart is the number of jobs whose tasks may be started apart on one worker within startupTime,
-// if no other task waits for capacity. More would leave many jobs suspected if one of them crashes the
-// worker.
-const stackedApart = 2
-
-// mayStartApart reports whether a task may be started apart on a worker now. Tasks of one job may be
-// started together: if one of them crashes the worker, the job is known.
-func (p *Pool) mayStartApart(t *task, w *worker, now clock.Millis) bool {
-	switch {
-	case !w.hasStartedApart(now):
-		return p.apartLeft > 0
-	case slices.Contains(w.apartJobs, t.step.job):
-		return true
-	}
-	return !p.full && len(w.apartJobs) < stackedApart
-}
-
-// hasStartedApart reports whether a task was started apart on the worker within startupTime.
-func (w *worker) hasStartedApart(now clock.Millis) bool {
-	return w.suspectAt != 0 && now-w.suspectAt < startupTime
-}
-
-// workerCounts are numbers of workers that stay in the pool.
-type workerCounts struct {
-	all          int
-	responding   int
-	downByTrials int // that do not respond any more since a trial
-	apart        int // on which a task was started apart within startupTime
-
-	full bool // tasks that nobody suspects wait for capacity
-}
-
-// least returns the number of suspected tasks that may take a worker in any case: one, if no other task
-// waits for capacity, or if there is only one worker.
-func (c workerCounts) least() int {
-	if c.full && c.all > 1 {
-		return 0
-	}
-	return 1
-}
-
-// countWorkers counts the workers that have responded and are neither cordoned nor draining.
-func (p *Pool) countWorkers(now clock.Millis) workerCounts {
-	c := workerCounts{full: p.full}
-	for _, w := range p.sortedWorkers {
-		if !w.responded || w.cordoned || w.Draining {
-			continue
-		}
-		c.all++
-		if w.reachable {
-			c.responding++
-		} else if w.trial != nil && w.trial.unresponsive() {
-			c.downByTrials++
-		}
-		if w.hasStartedApart(now) {
-			c.apart++
-		}
-	}
-	return c
-}
-
-// count takes a trial from the limits.
-func (l *trialLimits) count(tr *trial, now clock.Millis) {
-	if tr.phase == trialReserved {
-		l.reserved--
-	}
-	if tr.isActive(now) || tr.unresponsive() {
-		l.all--
-	}
-}
-
-// isActive reports whether a trial may yet crash its workers at its start.
-func (tr *trial) isActive(now clock.Millis) bool {
-	return !tr.unresponsive() && (tr.phase != trialRunning || now-tr.since < quickCrashAge)
-}
-
-// recordApart assigns a task that starts apart to a worker and records its start. The start is ordered
-// once that is durable.
-func (p *Pool) recordApart(t *task, w *worker, now clock.Millis) {
-	t.run = max(t.run, p.RunBase) + 1
-	p.assign(t, w, recording, now)
-	p.recordTrialOf(t, w, false)
-	if !w.hasStartedApart(now) {
-		w.apartJobs = nil
-		p.apartLeft--
-	}
-	w.suspectAt = now
-	if !slices.Contains(w.apartJobs, t.step.job) {
-		w.apartJobs = append(w.apartJobs, t.step.job)
-	}
-	p.apart = append(p.apart, &trialStart{task: t, worker: w, run: t.run})
-}
-
-// startApart orders the starts of tasks that start apart and whose record is durable.
-func (p *Pool) startApart(now clock.Millis) {
-	p.apart = slices.DeleteFunc(p.apart, func(s *trialStart) bool {
-		t, w := s.task, s.worker
-		switch {
-		case t.state != recording || t.run != s.run: // withdrawn
-		case !p.startPossible(s, now) || w.trial != nil:
-			p.unassign(t)
-			p.requeueOrBlock(t, now)
-			p.endRecordedTrial(t, s.run)
-		case s.durable:
-			p.unassign(t)
-			p.start(t, w, s.run, now)
-		default:
-			return false
-		}
-		return true
-	})
-}
-
 // startPossible reports whether a recorded start may still be ordered. The capacity of the worker may
 // have shrunk since it was recorded.
 func (p *Pool) startPossible(s *trialStart, now clock.Millis) bool {
@@ -217,17 +66,6 @@
 	p.apartLeft = maxApartWorkers(counts, active)
 }
 
-// updateTrialsDue determines the jobs with a task that is to start alone. Their other suspected tasks
-// share its trial.
-func (p *Pool) updateTrialsDue() {
-	for _, u := range p.suspects {
-		u.step.job.trialDue = false
-	}
-	for _, u := range p.suspects {
-		u.step.job.trialDue = u.step.job.trialDue || u.suspicion == startAlone
-	}
-}
-
 // beginTrials begins the trials that the limits permit.
 func (p *Pool) beginTrials(c workerCounts, now clock.Millis) {
 	limits := newTrialLimits(c, p.trialsPassed)
@@ -260,68 +98,6 @@
 	}
 }
 
-// maxTrialSearches limits the suspected tasks for which one pass looks for workers, so that a pass
-// takes no longer after a burst of crashes.
-const maxTrialSearches = 32
-
-// trialCandidates returns the suspected tasks that wait for a start. Those that are least likely to
-// crash another worker come first, and the more likely ones later, but not after all that follow.
-func (p *Pool) trialCandidates(now clock.Millis) []*task {
-	var out []*task
-	for _, u := range p.suspects {
-		if u.suspicion == startAlone && u.needsTrial() {
-			out = append(out, u)
-		}
-	}
-	slices.SortStableFunc(out, func(a, b *task) int { return cmp.Compare(a.trialPrecedence(now), b.trialPrecedence(now)) })
-	return out
-}
-
-// trialAging is the wait that makes up for a crash of which a task was the likely cause.
-const trialAging clock.Millis = 5000
-
-// trialPrecedence orders tasks that wait for trials; the lowest comes first.
-func (t *task) trialPrecedence(now clock.Millis) clock.Millis {
-	return trialAging*clock.Millis(likelihood(t.crashes()))/wholeCrash - (now - t.stateSince)
-}
-
-// wholeCrash is the likelihood of a task that was the only one to have been started before a crash.
-const wholeCrash = 60
-
-// likelihood returns how likely a task is the cause of its crashes: each crash at the start of a run
-// counts by the number of jobs that may have caused it, and one of a run that was alone counts twice.
-func likelihood(crashes []job.Crash) int {
-	sum := 0
-	for _, c := range crashes {
-		switch {
-		case c.Alone:
-			sum += 2 * wholeCrash
-		case c.Age <= startupTime:
-			sum += wholeCrash / (1 + c.Peers)
-		}
-	}
-	return sum
-}
-
-// startsAlone reports whether a task starts in a trial: it is to start alone itself, or shares the trial
-// of a task of its job.
-func (t *task) startsAlone() bool {
-	u := t.unit()
-	return u.suspicion == startAlone || (u.suspicion == startApart && t.step.job.trialDue)
-}
-
-// needsTrial reports whether a unit is to start in a trial and may start: the task, or all tasks of
-// its gang, are waiting.
-func (t *task) needsTrial() bool {
-	if !t.startsAlone() {
-		return false
-	}
-	if t.step.spec.Gang {
-		return t.step.waitingTasks == len(t.step.tasks)
-	}
-	return t.state == waiting
-}
-
 // beginTrial begins the trial of a unit and of the other suspected tasks of its job that fit beside
 // it, on some of the workers, which it reserves if other runs have to end first. It returns nil if none
 // of the workers fits.
