--- a/hosted/calls.go
+++ b/hosted/calls.go
@@ -99,9 +99,7 @@
 
 // poolCall is one operation on a pool, which the pool's owner performs.
 type poolCall struct {
-	name string
 	pool fleet.PoolID
-	id   job.ID
 	// local performs the operation at an owner in this process.
 	local func(ctx context.Context, o *owner.Owner) (job.Answer, error)
 	// remote performs the operation at the member with the given address.
@@ -193,7 +191,7 @@
 	}
 	accepted := job.Answer{Outcome: job.OutcomeDone, State: job.Queued}
 	return p.perform(ctx, poolCall{
-		name: "submit", pool: ref.queue.Pool, id: ref.id,
+		pool:  ref.queue.Pool,
 		local: func(ctx context.Context, o *owner.Owner) (job.Answer, error) { return accepted, o.Submit(ctx, j) },
 		remote: func(ctx context.Context, address string) (job.Answer, error) {
 			return accepted, p.members.submit(ctx, address, ref.queue.Pool, j)
@@ -236,7 +234,7 @@
 
 func (p *Process) stateCall(pool fleet.PoolID, id job.ID) poolCall {
 	return poolCall{
-		name: "state", pool: pool, id: id,
+		pool: pool,
 		local: func(ctx context.Context, o *owner.Owner) (job.Answer, error) {
 			status, found, err := o.Status(ctx, id)
 			return statusAnswer(status, found), err
@@ -257,7 +255,7 @@
 
 func (p *Process) cancelCall(pool fleet.PoolID, id job.ID) poolCall {
 	return poolCall{
-		name: "cancel", pool: pool, id: id,
+		pool: pool,
 		local: func(ctx context.Context, o *owner.Owner) (job.Answer, error) {
 			found, err := o.Cancel(ctx, id)
 			return statusAnswer(owner.JobStatus{State: job.Cancelled}, found), err
@@ -339,7 +337,7 @@
 // pendingCall returns the call that counts a queue's jobs of which no task has started.
 func (p *Process) pendingCall(ref jobRef) poolCall {
 	return poolCall{
-		name: "pending", pool: ref.queue.Pool,
+		pool: ref.queue.Pool,
 		local: func(_ context.Context, o *owner.Owner) (job.Answer, error) {
 			count, err := o.Pending(ref.queue.ID)
 			return job.Answer{Outcome: job.OutcomeDone, Pending: count}, err
--- a/hosted/fleet.go
+++ b/hosted/fleet.go
@@ -73,7 +73,7 @@
 	ctx, cancel := context.WithCancel(p.ctx)
 	leader := &fleetLeader{
 		process: p, lease: lease, calls: p.machines, ordersFrom: now + p.Settings.MinHolderChangeTime + lastOrderDelay, cancel: cancel, done: make(chan struct{}),
-		planner: machine.NewPlanner(machine.Config{MoveTime: p.Settings.MoveTime, MaintenanceTime: p.Settings.MaintenanceTime}),
+		planner: machine.NewPlanner(machine.Config{MaintenanceTime: p.Settings.MaintenanceTime}),
 		ledger:  quota.New(now), endedWorkers: map[fleet.PoolID][]endedWorker{}, savedCounts: map[int]int{}, writtenStates: map[int]machine.WaveState{},
 	}
 	if lease.Fence() == 1 {
--- a/hosted/harness_test.go
+++ b/hosted/harness_test.go
@@ -123,7 +123,7 @@
 		Member: fleet.MemberID(name), Zone: "z1", IP: netip.MustParseAddr("127.0.0.1"),
 		CallerAddr: freeAddress(c.t), ReadyAddr: freeAddress(c.t), PeerPort: firstMemberPort, MetricsPort: firstMemberPort + 1, MemoryMB: 512, CPUCores: cpuCores,
 		StoreAddr: netip.MustParseAddrPort(strings.TrimPrefix(storeProxy.URL, "http://")), FinalStateRetention: 120_000,
-		MachinesAddr: c.serviceAddresses[0], AdviserAddr: c.serviceAddresses[1], MoveTime: 300, MaintenanceTime: 300,
+		MachinesAddr: c.serviceAddresses[0], AdviserAddr: c.serviceAddresses[1], MaintenanceTime: 300,
 	}
 	level := slog.LevelError
 	if os.Getenv("CITRONKNOT_TEST_LOG") != "" {
--- a/job/catalog.go
+++ b/job/catalog.go
@@ -35,17 +35,14 @@
 // Pool is a set of workers that runs the jobs of queues.
 type Pool struct {
 	ID             fleet.PoolID
-	Spare          bool   // its instances are off and cost nothing
-	AdmissionCheck bool   // its workers refuse a task that exceeds their free capacity
-	HealthPath     string // configured, but not used
-	MaxConns       int    // configured, but not used
+	Spare          bool // its instances are off and cost nothing
+	AdmissionCheck bool // its workers refuse a task that exceeds their free capacity
 }
 
 // Team is a customer, whose keys authorize submissions.
 type Team struct {
-	ID     fleet.TeamID
-	Weight float64   // configured, but not used
-	Cap    Resources // limit of the team's running tasks; 0 in a dimension means no limit
+	ID  fleet.TeamID
+	Cap Resources // limit of the team's running tasks; 0 in a dimension means no limit
 }
 
 // Catalog is one version of the configuration under which jobs are accepted. It does not change
--- a/machine/planner.go
+++ b/machine/planner.go
@@ -26,7 +26,6 @@
 
 // Config holds the parameters of a Planner.
 type Config struct {
-	MoveTime        clock.Millis // how long a machine that moves has no worker
 	MaintenanceTime clock.Millis // how long a machine in maintenance has no worker
 }
 
--- a/machine/planner_test.go
+++ b/machine/planner_test.go
@@ -27,7 +27,7 @@
 // spare.
 func newFakePlatform(t *testing.T, a, b, spare int) *fakePlatform {
 	platform := &fakePlatform{
-		t: t, planner: machine.NewPlanner(machine.Config{MoveTime: 1500, MaintenanceTime: 2000}),
+		t: t, planner: machine.NewPlanner(machine.Config{MaintenanceTime: 2000}),
 		active: map[fleet.PoolID]int64{}, longRunning: map[machine.ID]int{}, now: 1000,
 	}
 	platform.planner.SetPools([]fleet.PoolID{"a", "b"}, "spare")
@@ -183,7 +183,7 @@
 
 // BenchmarkPlan plans at the target size: 910 machines in 82 pools.
 func BenchmarkPlan(b *testing.B) {
-	p := machine.NewPlanner(machine.Config{MoveTime: 1500, MaintenanceTime: 2000})
+	p := machine.NewPlanner(machine.Config{MaintenanceTime: 2000})
 	var pools []fleet.PoolID
 	var list []machine.Machine
 	loads := map[fleet.PoolID]*machine.PoolLoad{}
