Name the endpoint of a worker and its reply apart from targets and answers

Change: they are worker.Endpoint and worker.Reply. Result: make lint is clean; go test of worker, platform, dispatcher and owner passes; no statement changes.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -186,7 +186,7 @@
 	ctx, cancel := context.WithCancel(d.sessionsCtx)
 	a := &assignment{Assignment: given, cancel: cancel}
 	a.session = worker.NewSession(worker.Config{
-		Calls: d.Calls, Target: given.Target, Incarnation: given.Incarnation, Clock: d.Clock, Fence: d.fence, PollWait: d.PollWait, Log: d.Log,
+		Calls: d.Calls, Endpoint: given.Endpoint, Incarnation: given.Incarnation, Clock: d.Clock, Fence: d.fence, PollWait: d.PollWait, Log: d.Log,
 		FormerLeasesEnd: d.Clock.Now() + given.FormerLeases, Authorized: d.authorized,
 		Report:  func(ctx context.Context, r schedule.Report) uint64 { return d.report(ctx, a, r) },
 		Durable: func() uint64 { return d.durableFor(a) },
@@ -220,7 +220,7 @@
 	d.addLocked(a, Event{Kind: OrderCompleted, Order: schedule.Order{Kind: o.Kind, Task: o.Task, Run: o.Run}, Outcome: outcome})
 	fence := d.fence
 	d.mu.Unlock()
-	d.Log.Info("dispatcher: order completed", "order", o.Kind.String(), "task", o.Task.String(), "run", o.Run, "worker", a.Target.ID,
+	d.Log.Info("dispatcher: order completed", "order", o.Kind.String(), "task", o.Task.String(), "run", o.Run, "worker", a.Endpoint.ID,
 		"pool", d.Pool, "fence", fence, "reason", string(o.Reason), "answer", result.String())
 }
 
@@ -244,7 +244,7 @@
 	d.addLocked(a, Event{Kind: Polled, Report: r, Change: change})
 	d.mu.Unlock()
 	for _, e := range r.Ended {
-		d.Log.Info("dispatcher: run ended", "task", e.Task.String(), "run", e.Run, "worker", a.Target.ID, "pool", d.Pool, "how", e.Kind.String())
+		d.Log.Info("dispatcher: run ended", "task", e.Task.String(), "run", e.Run, "worker", a.Endpoint.ID, "pool", d.Pool, "how", e.Kind.String())
 	}
 	if change != 0 {
 		d.awaitDurable(ctx, a, change)
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -114,21 +114,21 @@
 
 func (w *fakeWorkers) calls() worker.Calls {
 	return worker.Calls{
-		Poll: func(_ context.Context, _ worker.Target, r worker.PollRequest) (worker.PollResponse, error) {
+		Poll: func(_ context.Context, _ worker.Endpoint, r worker.PollRequest) (worker.PollResponse, error) {
 			w.mu.Lock()
 			w.polls, w.polledAt = append(w.polls, r), append(w.polledAt, time.Now())
 			w.mu.Unlock()
 			time.Sleep(100 * time.Millisecond)
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			return worker.PollResponse{Answer: worker.Answer{Result: worker.Done, Clock: 1000}, Ended: w.ended}, nil
+			return worker.PollResponse{Reply: worker.Reply{Result: worker.Done, Clock: 1000}, Ended: w.ended}, nil
 		},
-		Start: func(_ context.Context, _ worker.Target, o worker.StartOrder) (worker.Answer, error) {
+		Start: func(_ context.Context, _ worker.Endpoint, o worker.StartOrder) (worker.Reply, error) {
 			time.Sleep(w.startWait)
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			w.starts = append(w.starts, o)
-			return worker.Answer{Result: worker.Done, Clock: 1000}, nil
+			return worker.Reply{Result: worker.Done, Clock: 1000}, nil
 		},
 	}
 }
@@ -156,7 +156,7 @@
 		Pool: "p", Self: "m1", Calls: h.workers.calls(), Log: slog.New(slog.DiscardHandler), Poll: h.owner.poll, Send: h.owner.send,
 		Clock: clock.Clock{NowFunc: now, BootFunc: func() clock.Millis { return now() + clock.Millis(h.paused.Load()) }},
 	})
-	h.owner.queue(dispatcher.Batch{Assigned: []dispatcher.Assignment{{ID: 1, Target: worker.Target{ID: "w1", Address: "a"}, Incarnation: 5}}})
+	h.owner.queue(dispatcher.Batch{Assigned: []dispatcher.Assignment{{ID: 1, Endpoint: worker.Endpoint{ID: "w1", Address: "a"}, Incarnation: 5}}})
 	ctx, cancel := context.WithCancel(t.Context())
 	h.cancel = cancel
 	go func() { h.done <- d.Run(ctx) }()
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -28,7 +28,7 @@
 // Assignment gives a dispatcher one incarnation of a worker.
 type Assignment struct {
 	ID          AssignmentID
-	Target      worker.Target
+	Endpoint    worker.Endpoint
 	Incarnation clock.Millis
 	// FormerLeases is the longest time from now for which leases that other members gave the
 	// worker's runs can last.
--- a/hosted/dispatch_wire.go
+++ b/hosted/dispatch_wire.go
@@ -76,7 +76,7 @@
 	}
 	for _, a := range b.Assigned {
 		w.Assigned = append(w.Assigned, wireAssignment{
-			ID: uint64(a.ID), Worker: string(a.Target.ID), Address: a.Target.Address, Incarnation: int64(a.Incarnation), FormerLeases: int64(a.FormerLeases),
+			ID: uint64(a.ID), Worker: string(a.Endpoint.ID), Address: a.Endpoint.Address, Incarnation: int64(a.Incarnation), FormerLeases: int64(a.FormerLeases),
 		})
 	}
 	for i := range b.Orders {
@@ -105,7 +105,7 @@
 	for i := range w.Assigned {
 		a := &w.Assigned[i]
 		b.Assigned = append(b.Assigned, dispatcher.Assignment{
-			ID: dispatcher.AssignmentID(a.ID), Target: worker.Target{ID: fleet.InstanceID(a.Worker), Address: a.Address},
+			ID: dispatcher.AssignmentID(a.ID), Endpoint: worker.Endpoint{ID: fleet.InstanceID(a.Worker), Address: a.Address},
 			Incarnation: clock.Millis(a.Incarnation), FormerLeases: clock.Millis(a.FormerLeases),
 		})
 	}
--- a/owner/commit_test.go
+++ b/owner/commit_test.go
@@ -32,14 +32,14 @@
 
 func (w *endingWorker) calls() worker.Calls {
 	return worker.Calls{
-		Poll: func(_ context.Context, _ worker.Target, o worker.PollRequest) (worker.PollResponse, error) {
+		Poll: func(_ context.Context, _ worker.Endpoint, o worker.PollRequest) (worker.PollResponse, error) {
 			time.Sleep(10 * time.Millisecond)
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			w.ended = slices.DeleteFunc(w.ended, func(e worker.EndedRun) bool { return e.Number <= o.AcknowledgedThrough })
-			return worker.PollResponse{Answer: worker.Answer{Result: worker.Done, Clock: 1}, Ended: slices.Clone(w.ended)}, nil
+			return worker.PollResponse{Reply: worker.Reply{Result: worker.Done, Clock: 1}, Ended: slices.Clone(w.ended)}, nil
 		},
-		Start: func(_ context.Context, _ worker.Target, o worker.StartOrder) (worker.Answer, error) {
+		Start: func(_ context.Context, _ worker.Endpoint, o worker.StartOrder) (worker.Reply, error) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			w.starts++
@@ -48,10 +48,10 @@
 				kind = schedule.EndFailed
 			}
 			w.ended = append(w.ended, worker.EndedRun{Number: w.starts, EndReport: schedule.EndReport{Task: o.Task, Run: o.Run, Kind: kind}})
-			return worker.Answer{Result: worker.Done}, nil
+			return worker.Reply{Result: worker.Done}, nil
 		},
-		Stop: func(context.Context, worker.Target, job.Ref, int, uint64) (worker.Answer, error) {
-			return worker.Answer{Result: worker.Done}, nil
+		Stop: func(context.Context, worker.Endpoint, job.Ref, int, uint64) (worker.Reply, error) {
+			return worker.Reply{Result: worker.Done}, nil
 		},
 	}
 }
--- a/owner/dispatch.go
+++ b/owner/dispatch.go
@@ -304,7 +304,7 @@
 	s.dispatcher, s.assignment, s.own = d, o.assignments, nil
 	d.sessions[s.assignment], d.emptySince = s, 0
 	d.batch.Assigned = append(d.batch.Assigned, dispatcher.Assignment{
-		ID: s.assignment, Target: worker.Target{ID: s.worker, Address: s.address}, Incarnation: s.incarnation, FormerLeases: o.formerLeases(now),
+		ID: s.assignment, Endpoint: worker.Endpoint{ID: s.worker, Address: s.address}, Incarnation: s.incarnation, FormerLeases: o.formerLeases(now),
 	})
 	o.pool.SetDispatcher(s.worker, d.member)
 	wake(d.wakeup)
--- a/owner/recovery_test.go
+++ b/owner/recovery_test.go
@@ -80,22 +80,22 @@
 
 func (w *fakeWorkers) calls() worker.Calls {
 	return worker.Calls{
-		Poll: func(ctx context.Context, to worker.Target, o worker.PollRequest) (worker.PollResponse, error) {
+		Poll: func(ctx context.Context, to worker.Endpoint, o worker.PollRequest) (worker.PollResponse, error) {
 			if to.ID == "w0" {
 				<-ctx.Done()
 				return worker.PollResponse{}, ctx.Err()
 			}
 			time.Sleep(100 * time.Millisecond)
-			return worker.PollResponse{Answer: worker.Answer{Result: worker.Done, Clock: 1}}, nil
+			return worker.PollResponse{Reply: worker.Reply{Result: worker.Done, Clock: 1}}, nil
 		},
-		Start: func(context.Context, worker.Target, worker.StartOrder) (worker.Answer, error) {
+		Start: func(context.Context, worker.Endpoint, worker.StartOrder) (worker.Reply, error) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			w.starts++
-			return worker.Answer{Result: worker.Done}, nil
+			return worker.Reply{Result: worker.Done}, nil
 		},
-		Stop: func(context.Context, worker.Target, job.Ref, int, uint64) (worker.Answer, error) {
-			return worker.Answer{Result: worker.Done}, nil
+		Stop: func(context.Context, worker.Endpoint, job.Ref, int, uint64) (worker.Reply, error) {
+			return worker.Reply{Result: worker.Done}, nil
 		},
 	}
 }
--- a/owner/sessions.go
+++ b/owner/sessions.go
@@ -62,7 +62,7 @@
 	ctx, cancel := context.WithCancel(o.sessionsCtx)
 	s.cancel = cancel
 	s.own = worker.NewSession(worker.Config{
-		Calls: o.Calls, Target: worker.Target{ID: s.worker, Address: s.address}, Incarnation: s.incarnation, Clock: o.Clock,
+		Calls: o.Calls, Endpoint: worker.Endpoint{ID: s.worker, Address: s.address}, Incarnation: s.incarnation, Clock: o.Clock,
 		Fence: o.Lease.Fence(), PollWait: o.PollWait, Log: o.Log, Authorized: o.mayGiveOrders, FormerLeasesEnd: now + o.formerLeases(now),
 		Report:  func(ctx context.Context, r schedule.Report) uint64 { return o.handleReport(ctx, s, r) },
 		Durable: o.lastDurableChange,
--- a/owner/workers_test.go
+++ b/owner/workers_test.go
@@ -34,10 +34,10 @@
 		must.True(t, claimed)
 		var polls atomic.Int64
 		calls := (&fakeWorkers{}).calls()
-		calls.Poll = func(context.Context, worker.Target, worker.PollRequest) (worker.PollResponse, error) {
+		calls.Poll = func(context.Context, worker.Endpoint, worker.PollRequest) (worker.PollResponse, error) {
 			polls.Add(1)
 			time.Sleep(time.Millisecond)
-			return worker.PollResponse{Answer: worker.Answer{Result: worker.OtherIncarnation, Clock: 1}}, nil
+			return worker.PollResponse{Reply: worker.Reply{Result: worker.OtherIncarnation, Clock: 1}}, nil
 		}
 		poolOwner := owner.New(owner.Config{
 			Pool: "p", Lease: lease, Former: rowstore.HolderReleased, Table: store.table(), Clock: testClock, Calls: calls, Log: slog.New(slog.DiscardHandler),
--- a/worker/calls.go
+++ b/worker/calls.go
@@ -10,9 +10,9 @@
 	"citronknot/schedule"
 )
 
-// Target is the worker to which a call is sent, and the network address at which it is reached.
+// Endpoint is the worker to which a call is sent, and the network address at which it is reached.
 // A worker that is not the target answers the call with OtherIncarnation.
-type Target struct {
+type Endpoint struct {
 	ID      fleet.InstanceID
 	Address string
 }
@@ -59,8 +59,8 @@
 	return [...]string{"none", "done", "fence_too_old", "run_too_old", "lease_too_old", "no_room", "unhealthy", "invalid", "ticket_invalid", "other_incarnation", "not_reached"}[r]
 }
 
-// Answer is a worker's response to an order.
-type Answer struct {
+// Reply is a worker's response to an order.
+type Reply struct {
 	Result Result
 	Clock  clock.Millis // the worker's clock; 0 if the worker did not send it
 }
@@ -73,7 +73,7 @@
 
 // PollResponse is a worker's response to a poll.
 type PollResponse struct {
-	Answer
+	Reply
 	Incarnation clock.Millis // start time of the incarnation; 0 if the worker did not send it
 	Running     []schedule.RunReport
 	Ended       []EndedRun // all ended runs that the worker may not forget yet
@@ -83,10 +83,10 @@
 // and to poll. The outcome of a call that fails with an error is unknown: the worker may have
 // carried it out, or may do so later. Only a call that fails with a *NotSentError had no effect.
 type Calls struct {
-	Start func(ctx context.Context, to Target, o StartOrder) (Answer, error)
-	Stop  func(ctx context.Context, to Target, task job.Ref, run int, fence uint64) (Answer, error)
-	Pace  func(ctx context.Context, to Target, task job.Ref, run, percent int, fence uint64) (Answer, error)
-	Poll  func(ctx context.Context, to Target, o PollRequest) (PollResponse, error)
+	Start func(ctx context.Context, to Endpoint, o StartOrder) (Reply, error)
+	Stop  func(ctx context.Context, to Endpoint, task job.Ref, run int, fence uint64) (Reply, error)
+	Pace  func(ctx context.Context, to Endpoint, task job.Ref, run, percent int, fence uint64) (Reply, error)
+	Poll  func(ctx context.Context, to Endpoint, o PollRequest) (PollResponse, error)
 }
 
 // NotSentError reports a call that was not sent, because there was no connection to the worker.
--- a/worker/session.go
+++ b/worker/session.go
@@ -25,7 +25,7 @@
 // Config holds the settings and dependencies of a Session.
 type Config struct {
 	Calls       Calls
-	Target      Target
+	Endpoint    Endpoint
 	Incarnation clock.Millis // expected incarnation; 0 takes any
 	Clock       clock.Clock
 	Fence       uint64
@@ -111,7 +111,7 @@
 	requestedAt := s.Clock.Now()
 	order := s.nextPoll(requestedAt)
 	callCtx, cancel := context.WithTimeout(ctx, (order.Wait + pollTimeoutSlack).Duration())
-	listing, err := s.Calls.Poll(callCtx, s.Target, order)
+	listing, err := s.Calls.Poll(callCtx, s.Endpoint, order)
 	cancel()
 	now := s.Clock.Now()
 	if ctx.Err() != nil {
@@ -191,7 +191,7 @@
 	s.startsBlocked = s.startsBlocked || expired
 	s.mu.Unlock()
 	if becameUnreachable {
-		s.Log.Warn("worker: polls get no response", "worker", s.Target.ID, "lease_ends_in_ms", int64(leaseEnd-now), "err", err)
+		s.Log.Warn("worker: polls get no response", "worker", s.Endpoint.ID, "lease_ends_in_ms", int64(leaseEnd-now), "err", err)
 		s.Reachable(false, since)
 	}
 	if expired {
@@ -291,7 +291,7 @@
 		return s.outcome(NotReached), NotReached
 	}
 	if err != nil {
-		s.Log.Warn("worker: no response to an order", "order", o.Kind.String(), "task", o.Task.String(), "run", o.Run, "worker", s.Target.ID, "err", err)
+		s.Log.Warn("worker: no response to an order", "order", o.Kind.String(), "task", o.Task.String(), "run", o.Run, "worker", s.Endpoint.ID, "err", err)
 		return schedule.UnknownOutcome, 0
 	}
 	s.mu.Lock()
@@ -304,21 +304,21 @@
 }
 
 // send makes the call for an order. A start renews the worker's lease as well.
-func (s *Session) send(ctx context.Context, o schedule.Order, now clock.Millis) (Answer, error) {
+func (s *Session) send(ctx context.Context, o schedule.Order, now clock.Millis) (Reply, error) {
 	switch o.Kind {
 	case schedule.Stop:
-		return s.Calls.Stop(ctx, s.Target, o.Task, o.Run, s.Fence)
+		return s.Calls.Stop(ctx, s.Endpoint, o.Task, o.Run, s.Fence)
 	case schedule.Pace:
-		return s.Calls.Pace(ctx, s.Target, o.Task, o.Run, o.Percent, s.Fence)
+		return s.Calls.Pace(ctx, s.Endpoint, o.Task, o.Run, o.Percent, s.Fence)
 	}
 	s.mu.Lock()
 	if s.startsBlocked || !s.lease.clockKnown {
 		s.mu.Unlock()
-		return Answer{Result: LeaseTooOld}, nil
+		return Reply{Result: LeaseTooOld}, nil
 	}
 	until := s.lease.extend(LeaseLength, now)
 	s.mu.Unlock()
-	return s.Calls.Start(ctx, s.Target, StartOrder{
+	return s.Calls.Start(ctx, s.Endpoint, StartOrder{
 		Task: o.Task, Run: o.Run, Spec: o.Spec, Checkpoint: o.Checkpoint, Ticket: o.Ticket, LeaseUntil: until, Fence: s.Fence,
 	})
 }
--- a/worker/session_test.go
+++ b/worker/session_test.go
@@ -30,7 +30,7 @@
 	w.unreachable = unreachable
 }
 
-func (w *fakeWorker) poll(ctx context.Context, _ worker.Target, _ worker.PollRequest) (worker.PollResponse, error) {
+func (w *fakeWorker) poll(ctx context.Context, _ worker.Endpoint, _ worker.PollRequest) (worker.PollResponse, error) {
 	w.mu.Lock()
 	lost := w.lostPolls > 0
 	if lost {
@@ -47,7 +47,7 @@
 	if w.unreachable {
 		return worker.PollResponse{}, errors.New("refused")
 	}
-	return worker.PollResponse{Answer: worker.Answer{Result: worker.Done, Clock: 1000}}, nil
+	return worker.PollResponse{Reply: worker.Reply{Result: worker.Done, Clock: 1000}}, nil
 }
 
 // Guards against treating a worker as unreachable after a single poll without a response. That
@@ -154,12 +154,12 @@
 			fake := &fakeWorker{}
 			s := newSession(fake, make(chan time.Time, 1))
 			var responded, since clock.Millis
-			s.Calls.Poll = func(ctx context.Context, target worker.Target, r worker.PollRequest) (worker.PollResponse, error) {
+			s.Calls.Poll = func(ctx context.Context, to worker.Endpoint, r worker.PollRequest) (worker.PollResponse, error) {
 				if s.Clock.Now() > responded && responded != 0 {
 					time.Sleep(100 * time.Millisecond)
 					return worker.PollResponse{}, c.err
 				}
-				response, err := fake.poll(ctx, target, r)
+				response, err := fake.poll(ctx, to, r)
 				responded = s.Clock.Now()
 				return response, err
 			}
@@ -219,9 +219,9 @@
 			var expiries atomic.Int64
 			s.Expired = func() bool { expiries.Add(1); return recorded }
 			starts := 0
-			s.Calls.Start = func(context.Context, worker.Target, worker.StartOrder) (worker.Answer, error) {
+			s.Calls.Start = func(context.Context, worker.Endpoint, worker.StartOrder) (worker.Reply, error) {
 				starts++
-				return worker.Answer{Result: worker.Done, Clock: 1000}, nil
+				return worker.Reply{Result: worker.Done, Clock: 1000}, nil
 			}
 			ctx, cancel := context.WithCancel(t.Context())
 			ended := startSession(ctx, s)
@@ -272,11 +272,11 @@
 		ended := int64(0)
 		var reports []schedule.Report
 		s := newSession(&fakeWorker{}, make(chan time.Time, 1))
-		s.Calls.Poll = func(_ context.Context, _ worker.Target, r worker.PollRequest) (worker.PollResponse, error) {
+		s.Calls.Poll = func(_ context.Context, _ worker.Endpoint, r worker.PollRequest) (worker.PollResponse, error) {
 			time.Sleep(50 * time.Millisecond)
 			ended++
 			return worker.PollResponse{
-				Answer: worker.Answer{Result: worker.Done, Clock: 1000}, Running: []schedule.RunReport{{Run: 1}},
+				Reply: worker.Reply{Result: worker.Done, Clock: 1000}, Running: []schedule.RunReport{{Run: 1}},
 				Ended: []worker.EndedRun{{Number: ended, EndReport: schedule.EndReport{Run: int(ended)}}},
 			}, nil
 		}
@@ -314,8 +314,8 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			s := newSession(&fakeWorker{}, make(chan time.Time, 1))
-			s.Calls.Start = func(context.Context, worker.Target, worker.StartOrder) (worker.Answer, error) {
-				return worker.Answer{}, c.err
+			s.Calls.Start = func(context.Context, worker.Endpoint, worker.StartOrder) (worker.Reply, error) {
+				return worker.Reply{}, c.err
 			}
 			ctx, cancel := context.WithCancel(t.Context())
 			ended := startSession(ctx, s)
