--- a/schedule/apart.go
+++ b/schedule/apart.go
@@ -25,7 +25,7 @@
 
 // hasStartedApart reports whether a task was started apart on the worker within startupTime.
 func (w *worker) hasStartedApart(now clock.Millis) bool {
-	return w.suspectAt != 0 && now-w.suspectAt < startupTime
+	return w.apartAt != 0 && now-w.apartAt < startupTime
 }
 
 // recordApart assigns a task that starts apart to a worker and records its start. The start is ordered
@@ -38,7 +38,7 @@
 		w.apartJobs = nil
 		p.apartLeft--
 	}
-	w.suspectAt = now
+	w.apartAt = now
 	if !slices.Contains(w.apartJobs, t.step.job) {
 		w.apartJobs = append(w.apartJobs, t.step.job)
 	}
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -43,9 +43,9 @@
 	starterID        fleet.MemberID // id of that member; empty for the owner
 	avoidUntil       clock.Millis   // no starts before this time, after repeated failures
 	unlisted         bool           // its entry is gone or names another incarnation
-	suspectAt        clock.Millis   // when a task that is to start apart was last started there
+	apartAt          clock.Millis   // when a task was last started apart there
 	suspects         int            // suspected tasks that occupy the worker
-	apartJobs        []*Job         // jobs with tasks that were started apart there around suspectAt
+	apartJobs        []*Job         // jobs with tasks that were started apart there around apartAt
 	trial            *trial         // nothing else is started during it; nil if there is none
 }
 
