Take four crashes at the same age for proof, and record starts after silent losses

Change: a task that was lost at its start with a silent worker starts apart, so that its start is recorded; a crash alone is proof with three more at the same age.

--- a/schedule/crash_test.go
+++ b/schedule/crash_test.go
@@ -97,6 +97,8 @@
 		{"one sole start", false, []job.Crash{beside, sole}, 1},
 		{"sole starts", false, []job.Crash{sole, sole}, 1},
 		{"two crashes", true, []job.Crash{sole}, 2},
+		{"always at the same age", false, []job.Crash{beside, beside, beside}, 1},
+		{"once at another age", false, []job.Crash{beside, beside, later}, 2},
 	} {
 		s := newCrashSimulation(t, 4)
 		step := newStep(1)
--- a/schedule/suspicion.go
+++ b/schedule/suspicion.go
@@ -38,7 +38,8 @@
 // hardly at the same age as before, alone on its worker.
 const (
 	blameAlone   = 3 // of runs that were alone, at any age
-	blameCrashes = 3 // the least number if one of two runs that were lost at the same age was not alone
+	blameSole    = 3 // if only one of the runs was alone, but another one was the only new one on its worker
+	blameSameAge = 4 // of runs that were lost at the same age, one of them alone
 )
 
 // Weights of crashes in the suspicion against a task, and the sums from which on it is started with care.
@@ -107,12 +108,14 @@
 		if alone++; alone >= blameAlone {
 			return true
 		}
+		same := 1
 		for _, o := range crashes[:i] {
-			if o.Alone && sameAge(c, o) {
-				return true
+			if !sameAge(c, o) {
+				continue
 			}
+			same++
 			sole := o.Peers == 0 && o.Within(startupTime)
-			if sole && sameAge(c, o) && len(crashes) >= blameCrashes {
+			if o.Alone || (sole && len(crashes) >= blameSole) || same >= blameSameAge {
 				return true
 			}
 		}
@@ -144,7 +147,7 @@
 	switch {
 	case totalWeight(counted)+doubtWeight >= aloneFromTotal:
 		return startAlone
-	case totalWeight(crashes) >= apartFromTotal:
+	case totalWeight(crashes)+doubtWeight >= apartFromTotal:
 		return startApart
 	}
 	return unsuspected
--- a/schedule/trial_test.go
+++ b/schedule/trial_test.go
@@ -150,6 +150,24 @@
 	}
 }
 
+// Guards against a crash that is forgotten because the owner was lost in the moment between the start of a
+// task and the return of its worker, after the task had been lost at the start with a silent worker.
+func TestStartAfterSilentLossIsRecorded(t *testing.T) {
+	s := newCrashSimulation(t, 4)
+	s.runTime = 10_000
+	ref := s.ref(s.add(1), 0)
+	s.runUntil(func() bool { return s.workerOf(ref) != nil })
+	must.MapEmpty(t, s.durable[ref.Job].Trials)
+	w := s.workerOf(ref)
+	s.now += 10
+	s.pool.SetReachable(w.id, false, s.now)
+	s.run(600)
+	w.runs, w.restartAt = nil, 1<<40
+	s.pool.ExpireLeases(w.id, s.now)
+	s.runUntil(func() bool { return s.workerOf(ref) != nil })
+	must.MapLen(t, 1, s.durable[ref.Job].Trials)
+}
+
 // Guards against a third crash that is forgotten in the same way, because the second one came a little
 // later after the start than the first one.
 func TestStartAfterLaterCrashIsRecorded(t *testing.T) {
