--- a/schedule/crash_test.go
+++ b/schedule/crash_test.go
@@ -46,37 +46,6 @@
 	s.checkOtherJobs()
 }
 
-// addSuspect adds a job of one task of 3.5 cores that was lost in crashes before, and returns its
-// number.
-func (s *crashSimulation) addSuspect(crashes ...job.Crash) int {
-	step := newStep(1)
-	step.Needs.CPU = 3500
-	return s.addLostBefore(step, crashes...)
-}
-
-// addLostBefore adds a job of one step whose first task was lost in crashes before, and returns its
-// number.
-func (s *crashSimulation) addLostBefore(step job.Step, crashes ...job.Crash) int {
-	return s.addLostTasksBefore(step, crashes)
-}
-
-// addLostTasksBefore adds a job of one step whose first tasks were lost in crashes before, and returns
-// its number.
-func (s *crashSimulation) addLostTasksBefore(step job.Step, crashes ...[]job.Crash) int {
-	n := len(s.jobs) + 1
-	j := newJob(n, step)
-	s.jobs = append(s.jobs, j)
-	progress := &job.Progress{}
-	for index := range crashes {
-		for i, c := range crashes[index] {
-			c.Run, c.Incarnation = 1000+i, 1
-			progress.AddCrash(job.Position{Index: index}, c)
-		}
-	}
-	s.pool.Add(j, testPolicy, progress, 0, s.now)
-	return n
-}
-
 // Guards against a deadly task that crashes more workers than are needed to find it: one crash of a run
 // that is alone is enough after the crash of a run beside which no other had just been started. It is
 // not after crashes that others may have caused.
