Log what was known when a task of a service is stopped

Change: the event service_run_stopped, with the reason, the tasks away by cause, the limit and the ages of the newest and oldest list of runs; the metric citronknot_service_tasks_away by pool and cause; the line "orders a machine" with the worker that ends, the fence of the reporting owner and the report's age. No decision changes. Result: TestStopOfServiceTaskSaysWhoWasAway.

--- a/hosted/fleet.go
+++ b/hosted/fleet.go
@@ -221,6 +221,11 @@
 	}
 	l.mu.Lock()
 	orders := l.planner.Plan(l.process.Clock.Now())
+	for _, o := range orders {
+		e := l.planner.Evidence(o.Machine, l.process.Clock.Now())
+		l.process.Log.Info("hosted: orders a machine", "order", o.String(), "fence", l.lease.Fence(), "worker", e.Worker,
+			"report_fence", e.Fence, "report_age_ms", int64(e.Age))
+	}
 	for _, state := range l.planner.Pools(l.process.Clock.Now()) {
 		l.process.Log.Debug("hosted: pool seen", "pool", state.Pool, "need", state.Need, "target", state.Target, "capacity", state.Capacity,
 			"rate", state.Rate, "hot", state.InPeak, "age_ms", int64(state.Age))
--- a/machine/planner.go
+++ b/machine/planner.go
@@ -270,6 +270,26 @@
 	return out
 }
 
+// Evidence is the report on which an order to a machine relies, for the log.
+type Evidence struct {
+	Worker fleet.InstanceID // that ends; empty if none runs
+	Fence  uint64           // of the owner that reported; 0 if no report is needed
+	Age    clock.Millis     // of the report
+}
+
+// Evidence returns the report on which an order to a machine relies.
+func (p *Planner) Evidence(id ID, now clock.Millis) Evidence {
+	m := p.machines[id]
+	if m == nil {
+		return Evidence{}
+	}
+	e := Evidence{Worker: m.endingWorker}
+	if pool := p.pools[m.fromPool]; pool != nil && m.endingWorker != "" {
+		e.Fence, e.Age = pool.load.Fence, now-pool.loadAt
+	}
+	return e
+}
+
 // isDrained reports whether nothing can run on a machine.
 func (p *Planner) isDrained(m *trackedMachine, now clock.Millis) bool {
 	if m.Pool == p.spare || m.Worker == "" {
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -392,6 +392,9 @@
 			o.Metrics.PlaceWaits.WithLabelValues(e.Wait.Outcome).Inc()
 		}
 	}
+	if e.Stop != nil {
+		args = append(args, stopArgs(e.Stop)...)
+	}
 	if e.Detail != "" {
 		args = append(args, "detail", e.Detail)
 	}
@@ -410,6 +413,17 @@
 	return append(args, "machine", e.Machine, "rack", e.Rack)
 }
 
+// stopArgs returns the attributes of the log line for the stop of a task of a service.
+func stopArgs(s *schedule.ServiceStop) []any {
+	args := []any{"reason", string(s.Reason), "away", s.Away, "limit", s.Limit, "newest_report_ms", int64(s.Newest), "oldest_report_ms", int64(s.Oldest)}
+	for a, n := range s.Causes {
+		if n > 0 {
+			args = append(args, "away_"+schedule.Absence(a).String(), n)
+		}
+	}
+	return args
+}
+
 // waitArgs returns the attributes of the log line for a wait for a near place that begins or ends.
 func waitArgs(w *schedule.PlaceWait) []any {
 	args := []any{
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -18,6 +18,8 @@
 	Suspects *prometheus.GaugeVec
 	// TeamsOverShare is the number of teams of each pool that have more than their share.
 	TeamsOverShare *prometheus.GaugeVec
+	// TasksAway is the number of tasks of services in each pool that are not known to work, by cause.
+	TasksAway *prometheus.GaugeVec
 	// Dispatchers is the number of dispatchers of each pool that the process owns.
 	Dispatchers *prometheus.GaugeVec
 }
@@ -58,6 +60,10 @@
 		TeamsOverShare: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "citronknot_pool_teams_over_share", Help: "Teams that have more than their share of the pool while others wait.",
 		}, []string{"pool"}),
+		TasksAway: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "citronknot_service_tasks_away",
+			Help: "Long-running tasks that are not known to work, by cause: new, stopped, lost, ended, silent or unconfirmed.",
+		}, []string{"pool", "cause"}),
 		Dispatchers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "citronknot_pool_dispatchers", Help: "Members that call workers for the owner of a pool.",
 		}, []string{"pool"}),
@@ -68,6 +74,6 @@
 func (m *Metrics) Collectors() []prometheus.Collector {
 	return []prometheus.Collector{
 		m.Orders, m.Events, m.RunsLost, m.PlaceWaits, m.OrderTime, m.PlanTime, m.CommitTime, m.CommitRows,
-		m.Refusals, m.Suspects, m.TeamsOverShare, m.Dispatchers,
+		m.Refusals, m.Suspects, m.TeamsOverShare, m.TasksAway, m.Dispatchers,
 	}
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"citronknot/clock"
 	"citronknot/dispatcher"
 	"citronknot/fleet"
@@ -94,11 +96,12 @@
 	committed     chan struct{} // closed and replaced after each commit
 	commitStarted clock.Millis  // when the current commit began; 0 if there is none
 
-	divided        bool // dispatchers are to serve the workers; see Divides
-	dispatchers    map[fleet.MemberID]*dispatcherRecord
-	assignments    dispatcher.AssignmentID // the newest one
-	dispatcherLeft chan struct{}           // a dispatcher has stopped while the owner stops; buffers one
-	endsLogged     bool                    // the ended runs that are being recorded were logged elsewhere
+	divided         bool // dispatchers are to serve the workers; see Divides
+	dispatchers     map[fleet.MemberID]*dispatcherRecord
+	assignments     dispatcher.AssignmentID // the newest one
+	dispatcherLeft  chan struct{}           // a dispatcher has stopped while the owner stops; buffers one
+	absencesCounted clock.Millis            // see countAbsences
+	endsLogged      bool                    // the ended runs that are being recorded were logged elsewhere
 
 	sessionsCtx context.Context // context of the sessions; set by Run before the first one
 	wg          sync.WaitGroup  // counts the planner, the sessions and the orders in flight
@@ -184,6 +187,7 @@
 	o.Metrics.Dispatchers.DeleteLabelValues(string(o.Pool))
 	o.Metrics.Suspects.DeleteLabelValues(string(o.Pool))
 	o.Metrics.TeamsOverShare.DeleteLabelValues(string(o.Pool))
+	o.Metrics.TasksAway.DeletePartialMatch(prometheus.Labels{"pool": string(o.Pool)})
 	for _, s := range o.submissions {
 		s.fail(err)
 	}
@@ -247,6 +251,7 @@
 		s.inFlight++
 		o.wg.Go(func() { o.sendOrder(ctx, s, order) })
 	}
+	o.countAbsences(now)
 	dirty := o.pool.Dirty()
 	o.Metrics.Suspects.WithLabelValues(string(o.Pool)).Set(float64(o.pool.Suspects()))
 	o.Metrics.TeamsOverShare.WithLabelValues(string(o.Pool)).Set(float64(o.pool.TeamsOverShare()))
@@ -257,6 +262,20 @@
 	}
 }
 
+// absenceInterval is the time between two counts of the tasks of services that are away.
+const absenceInterval clock.Millis = 1000
+
+// countAbsences updates the metric of the tasks of services that are away, if that is due.
+func (o *Owner) countAbsences(now clock.Millis) {
+	if now-o.absencesCounted < absenceInterval {
+		return
+	}
+	o.absencesCounted = now
+	for cause, n := range o.pool.Absences() {
+		o.Metrics.TasksAway.WithLabelValues(string(o.Pool), cause.String()).Set(float64(n))
+	}
+}
+
 // sendOrder sends one order to a worker and records its outcome in the pool.
 func (o *Owner) sendOrder(ctx context.Context, s *session, order schedule.Order) {
 	started := time.Now()
--- /dev/null
+++ b/schedule/availability_test.go
@@ -0,0 +1,83 @@
+package schedule_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"citronknot/clock"
+	"citronknot/job"
+	"citronknot/schedule"
+)
+
+// serviceHarness is a harness with one service, whose tasks run on workers of their own.
+type serviceHarness struct {
+	*harness
+	runs map[job.Ref]schedule.Order // the newest start of each task
+}
+
+// newServiceHarness returns a harness in which the tasks of a service work, of which one may be away.
+// There are spare workers without tasks.
+func newServiceHarness(t *testing.T, tasks, spare int) *serviceHarness {
+	s := &serviceHarness{harness: newHarness(t, tasks+spare), runs: map[job.Ref]schedule.Order{}}
+	step := newStep(tasks)
+	step.LongRunning, step.MaxUnavailable, step.MaxPerWorker = true, 1, 1
+	s.pool.Add(newJob(1, step), testPolicy, nil, 0, s.now)
+	for _, o := range s.acceptStarts(10) {
+		s.runs[o.Task] = o
+	}
+	must.MapLen(t, tasks, s.runs)
+	s.reportAll(10)
+	return s
+}
+
+// task returns the reference of a task of the service.
+func (s *serviceHarness) task(index int) job.Ref { return job.Ref{Job: jobID(1), Index: index} }
+
+// report advances the clock and reports what a task's worker runs: its run, with the given progress.
+func (s *serviceHarness) report(o schedule.Order, percent int, elapsed clock.Millis) {
+	s.now += elapsed
+	s.pool.Observe(o.Worker, schedule.Report{
+		RequestedAt: s.now, Running: []schedule.RunReport{{Task: o.Task, Run: o.Run, Percent: percent}},
+	}, s.now)
+}
+
+// reportAll advances the clock and reports all tasks as working.
+func (s *serviceHarness) reportAll(elapsed clock.Millis) {
+	s.now += elapsed
+	for _, o := range s.runs {
+		s.report(o, 100, 0)
+	}
+}
+
+// stopEvents returns the descriptions of the stops so far.
+func (s *serviceHarness) stopEvents() []*schedule.ServiceStop {
+	var out []*schedule.ServiceStop
+	for _, e := range s.events {
+		if e.Kind == "service_run_stopped" {
+			out = append(out, e.Stop)
+		}
+	}
+	return out
+}
+
+// Guards against stops of tasks of a service of which nobody can tell later how many others were away, why,
+// and how old the owner's view of the rest was.
+func TestStopOfServiceTaskSaysWhoWasAway(t *testing.T) {
+	s := newServiceHarness(t, 3, 2)
+	step := s.runs[s.task(0)]
+	s.pool.SetReachable(s.runs[s.task(2)].Worker, false, s.now)
+	s.now += 50
+	w := schedule.Worker{ID: step.Worker, Incarnation: 1, Rack: "r1-1", Capacity: job.Resources{CPU: 16000, Memory: 32768}, Draining: true}
+	s.pool.SetWorker(w, s.now)
+	must.Len(t, 1, s.planAfter(0))
+	stops := s.stopEvents()
+	must.Len(t, 1, stops)
+	must.Eq(t, schedule.StopEmpty, stops[0].Reason)
+	must.Eq(t, 1, stops[0].Away)
+	must.Eq(t, 1, stops[0].Causes[schedule.AbsentSilent])
+	must.Eq(t, 50, stops[0].Newest)
+	must.Eq(t, 50, stops[0].Oldest)
+	must.Eq(t, 1, s.pool.Absences()[schedule.AbsentStopped])
+	must.Eq(t, 1, s.pool.Absences()[schedule.AbsentSilent])
+}
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -106,6 +106,7 @@
 	}
 	for _, t := range tasks {
 		p.unassign(t, now)
+		t.lastAbsence = AbsentLost
 		p.requeueOrBlock(t, now)
 		if cause != LossSilent { // a silent worker may have crashed, which the next owner is to know
 			p.endRecordedTrial(t, t.run)
@@ -155,7 +156,7 @@
 	if r.EndsOnly {
 		return
 	}
-	w.unexpected = nil
+	w.unexpected, w.listedAt = nil, r.RequestedAt
 	for i := range r.Running {
 		p.observeRun(w, &r.Running[i], r.RequestedAt, now)
 	}
@@ -278,6 +279,7 @@
 			p.observeRunTime(t, now)
 		}
 		p.unassign(t, now)
+		t.lastAbsence = absenceAfter(e.Kind)
 		p.endRecordedTrial(t, e.Run)
 	}
 	if e.Checkpoint != "" && e.Run >= t.run {
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -132,4 +132,6 @@
 	Loss    *Loss
 
 	Wait *PlaceWait // of a wait for a near place
+
+	Stop *ServiceStop // of an order that ends a run of a service
 }
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -69,6 +69,7 @@
 	pendingJobs      map[fleet.QueueID]int          // jobs of which no task has started
 	arrivedWork      int64                          // see Load.Arrived
 	dirtyJobs        map[job.ID]*Job
+	services         []*stepRun // long-running steps; those of jobs in a final state are removed later
 	orders           []Order
 	stoppingTasks    map[*task]bool              // tasks in state stopping
 	startingTasks    map[*task]*starter          // tasks in state starting, with the member that sent the order
@@ -206,6 +207,9 @@
 			p.recoverSuspicion(t)
 		}
 		o.steps = append(o.steps, s)
+		if s.spec.LongRunning {
+			p.services = append(p.services, s)
+		}
 	}
 	j.occurrences = append(j.occurrences, o)
 	for _, s := range o.steps {
@@ -343,6 +347,11 @@
 
 // orderStop adds the stop order for a task in state stopping.
 func (p *Pool) orderStop(t *task) {
+	if t.step.spec.LongRunning && t.stopReason != StopFinal {
+		p.emit(Event{
+			Kind: "service_run_stopped", Task: t.ref(), Run: t.run, Worker: t.worker.ID, Stop: t.step.describeStop(t, t.stopReason, t.stopSentAt),
+		})
+	}
 	p.orders = append(p.orders, Order{
 		Kind: Stop, Worker: t.worker.ID, Incarnation: t.worker.Incarnation, Task: t.ref(), Run: t.run, Reason: t.stopReason,
 	})
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -43,6 +43,7 @@
 	stateSince    clock.Millis // when state was entered
 	orderedAt     clock.Millis // when the newest run was ordered; 0 if an earlier owner ordered it
 	stopReason    StopReason   // of the newest stop; kept when the task starts again
+	lastAbsence   Absence      // why the newest run ended; 0 if none has
 	stopSentAt    clock.Millis
 	// stopAccepted is set when the worker has accepted the stop; the response was received at
 	// stopAcceptedAt.
