--- a/schedule/availability_test.go
+++ b/schedule/availability_test.go
@@ -81,3 +81,53 @@
 	must.Eq(t, 1, s.pool.Absences()[schedule.AbsentStopped])
 	must.Eq(t, 1, s.pool.Absences()[schedule.AbsentSilent])
 }
+
+// ordersOf returns the orders of a kind.
+func ordersOf(kind schedule.OrderKind, orders []schedule.Order) []schedule.Order {
+	var out []schedule.Order
+	for _, o := range orders {
+		if o.Kind == kind {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// restartWithoutAnswer loses the worker of a task, and leaves the start on another worker without an answer.
+func (s *serviceHarness) restartWithoutAnswer(index int) schedule.Order {
+	s.pool.RemoveWorker(s.runs[s.task(index)].Worker, schedule.LossExpected, "its machine was taken down", s.now)
+	starts := ordersOf(schedule.Start, s.planAfter(10))
+	must.Len(s.t, 1, starts)
+	s.now += 400
+	s.pool.Answered(starts[0], schedule.UnknownOutcome, s.now)
+	s.runs[s.task(index)] = starts[0]
+	return starts[0]
+}
+
+// Guards against a service of which more tasks are away than it allows because a run is ended whose start
+// got no answer: the worker may have carried the start out, and the task may work while others are away.
+func TestServiceRunWithoutAnswerIsNotEndedAtWork(t *testing.T) {
+	s := newServiceHarness(t, 3, 2)
+	start := s.restartWithoutAnswer(0)
+	must.Len(t, 0, ordersOf(schedule.Stop, s.planAfter(10)), must.Sprint("it is not known whether the task works"))
+	s.reportAll(500)
+	s.pool.SetReachable(s.runs[s.task(1)].Worker, false, s.now)
+	for range 20 {
+		must.Len(t, 0, s.planAfter(100), must.Sprint("the task works, and another one is away"))
+	}
+	s.pool.SetReachable(s.runs[s.task(1)].Worker, true, s.now)
+	s.reportAll(100)
+	must.Len(t, 0, s.planAfter(1000))
+	must.MapLen(t, 0, s.away(), must.Sprintf("run %d on %s works", start.Run, start.Worker))
+}
+
+// away returns the numbers of absent tasks by cause, without those that are 0.
+func (s *serviceHarness) away() map[schedule.Absence]int {
+	out := s.pool.Absences()
+	for a, n := range out {
+		if n == 0 {
+			delete(out, a)
+		}
+	}
+	return out
+}
