Ignore what a former owner reports of its workers

Cause (hypothesis C of docs/incidents/avail.md): an owner that can't reach the store goes on reporting for up to 8 s, also after another member has taken the pool over. The fleet leader checked no fence, so that a worker that the former owner believed drained was taken down with the tasks that its successor had started there. Class: a report is believed although its sender may have been replaced. Change: the planner ignores reports with a lower fence than the pool's newest one; an owner reports a worker as drained only while no successor can exist.

--- a/machine/drained_test.go
+++ b/machine/drained_test.go
@@ -75,3 +75,21 @@
 	p.report()
 	must.Len(t, 1, platform.planner.Plan(platform.now))
 }
+
+// Guards against tasks of a service that end with their machine, because the fleet leader believes the report
+// of an owner that has lost the pool: it has not noticed that its successor starts tasks on the worker.
+func TestReportOfFormerOwnerTakesNoMachineDown(t *testing.T) {
+	platform := newFakePlatform(t, 4, 2, 0)
+	platform.planner.SetWave(newWave(1, "a0"), nil, platform.now)
+	platform.planner.Plan(platform.now)
+	former, successor := newOwnedPool(platform, 1, 2), newOwnedPool(platform, 2, 2)
+	former.report()
+	former.list("w-a0")
+	successor.list("w-a0", run(0), run(1))
+	for range 5 {
+		platform.now += 120
+		successor.report()
+		former.report()
+		must.Len(t, 0, platform.planner.Plan(platform.now))
+	}
+}
--- a/machine/planner.go
+++ b/machine/planner.go
@@ -167,10 +167,11 @@
 	slices.SortFunc(p.waves, func(a, b *trackedWave) int { return cmp.Compare(a.Number, b.Number) })
 }
 
-// SetLoad processes a pool's report.
+// SetLoad processes a pool's report. The report of an owner that has a successor is ignored: the successor
+// may have started tasks on workers that the former owner reports as drained.
 func (p *Planner) SetLoad(l PoolLoad, now clock.Millis) {
 	pool := p.pools[l.Pool]
-	if pool == nil || !p.hasList {
+	if pool == nil || !p.hasList || l.Fence < pool.load.Fence {
 		return
 	}
 	pool.load, pool.loadAt = l, now
--- a/owner/report.go
+++ b/owner/report.go
@@ -42,6 +42,11 @@
 		return r, false
 	}
 	r.Pool, r.Fence, r.Load = o.Pool, o.Lease.Fence(), o.pool.Load(o.Clock.Now())
+	if !o.Lease.Exclusive() { // a successor may have started tasks on drained workers
+		for i := range r.Workers {
+			r.Workers[i].Drained = false
+		}
+	}
 	r.Teams = map[fleet.TeamID]quota.Usage{}
 	allowances := o.pool.Allowance()
 	for team, load := range o.pool.Teams() {
