Take a machine down only on a report for its present intent

When the planner chose the machine again, it ordered at once, on the old report. Class: a view is used beyond the decision for which it was made. Evidence: TestReportForEarlierIntentTakesNoMachineDown fails without the change. Change: setIntent forgets what was reported before. Result: the tests of machine pass.

--- a/machine/drained_test.go
+++ b/machine/drained_test.go
@@ -1,6 +1,7 @@
 package machine_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -93,3 +94,29 @@
 		must.Len(t, 0, platform.planner.Plan(platform.now))
 	}
 }
+
+// Guards against tasks of a service that end with their machine, because the worker was reported as drained for
+// an earlier intent: the owner has been told since that the worker takes tasks.
+func TestReportForEarlierIntentTakesNoMachineDown(t *testing.T) {
+	platform := newFakePlatform(t, 4, 2, 0)
+	platform.planner.Hold([]machine.ID{"a0"}, platform.now+1000)
+	platform.planner.SetWave(newWave(1, "a0"), nil, platform.now)
+	platform.planner.Plan(platform.now)
+	p := newOwnedPool(platform, 1, 2)
+	p.report()
+	p.list("w-a0")
+	setState := func(s machine.State) {
+		platform.now += 500
+		i := slices.IndexFunc(platform.machines, func(m machine.Machine) bool { return m.ID == "a0" })
+		platform.machines[i].State = s
+		platform.planner.SetMachines(platform.machines, platform.now, platform.now)
+	}
+	setState(machine.Down)
+	must.Len(t, 0, platform.planner.Plan(platform.now))
+	p.report() // as drained; the response says that the worker takes tasks
+	p.list("w-a0", run(0), run(1))
+	setState(machine.Up)
+	must.Len(t, 0, platform.planner.Plan(platform.now))
+	p.report()
+	must.Len(t, 0, platform.planner.Plan(platform.now))
+}
--- a/machine/planner.go
+++ b/machine/planner.go
@@ -231,6 +231,7 @@
 func (p *Planner) setIntent(m *trackedMachine, o Order, now clock.Millis) {
 	p.plannedCapacity[m.destination()] -= m.Capacity.CPU
 	m.intent, m.intentSince = &o, now
+	m.drained = false // reported for an earlier intent; since then the worker may have taken tasks
 	p.plannedCapacity[m.destination()] += m.Capacity.CPU
 }
 
