Count a service's task as working only on a recent list

An owner that is slow, or was frozen or suspended, decides on a view that is seconds old, before its polls have had time to fail. Class: age of the view. Evidence: TestOldViewStopsNoServiceTask and TestListsFromBeforeSuspensionStopNoServiceTask fail without the change (the age limit at 300 s; ForgetLists without effect). Change: a list counts for 3 s. After a suspension of its machine, in which its clock stood still, an owner drops what was listed before. The absence of such tasks is "unseen" in the log and in the metric. Result: tests of schedule and owner pass.

--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -62,7 +62,7 @@
 		}, []string{"pool"}),
 		TasksAway: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "citronknot_service_tasks_away",
-			Help: "Long-running tasks that are not known to work, by cause: new, stopped, lost, ended, silent or unconfirmed.",
+			Help: "Long-running tasks that are not known to work, by cause: new, stopped, lost, ended, silent, unseen or unconfirmed.",
 		}, []string{"pool", "cause"}),
 		Dispatchers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "citronknot_pool_dispatchers", Help: "Members that call workers for the owner of a pool.",
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -100,6 +100,7 @@
 	dispatchers     map[fleet.MemberID]*dispatcherRecord
 	assignments     dispatcher.AssignmentID // the newest one
 	dispatcherLeft  chan struct{}           // a dispatcher has stopped while the owner stops; buffers one
+	plannedAt       clock.Mark              // of the last scheduling pass
 	absencesCounted clock.Millis            // see countAbsences
 	endsLogged      bool                    // the ended runs that are being recorded were logged elsewhere
 
@@ -120,7 +121,7 @@
 		savedKnownWorkers: map[fleet.InstanceID]knownWorker{}, endedIncarnations: map[fleet.InstanceID]endedIncarnation{},
 		unconfirmed: map[fleet.InstanceID]bool{}, unreadable: map[job.ID]bool{}, submissions: map[job.ID]*submission{},
 		dispatchers: map[fleet.MemberID]*dispatcherRecord{}, dispatcherLeft: make(chan struct{}, 1),
-		committed: make(chan struct{}), planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
+		plannedAt: c.Clock.Mark(), committed: make(chan struct{}), planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
 	}
 	return o
 }
@@ -228,6 +229,7 @@
 	started := time.Now()
 	o.mu.Lock()
 	now := o.Clock.Now()
+	o.noticeSuspension(now)
 	o.finishRecovery(now)
 	o.checkDispatchers(now)
 	o.divide(now)
@@ -262,6 +264,20 @@
 	}
 }
 
+// suspensionTolerance is the longest suspension after which the owner's view of the workers still counts.
+const suspensionTolerance clock.Millis = 300
+
+// noticeSuspension drops the owner's view of what runs on the workers if the machine was suspended since the
+// last pass. Times on the owner's clock, which stood still, would make that view seem recent.
+func (o *Owner) noticeSuspension(now clock.Millis) {
+	suspended := o.Clock.MaxElapsed(o.plannedAt) - o.Clock.MinElapsed(o.plannedAt)
+	o.plannedAt = o.Clock.Mark()
+	if suspended > suspensionTolerance {
+		o.Log.Warn("owner: the machine was suspended", "pool", o.Pool, "fence", o.Lease.Fence(), "suspended_ms", int64(suspended))
+		o.pool.ForgetLists(now)
+	}
+}
+
 // absenceInterval is the time between two counts of the tasks of services that are away.
 const absenceInterval clock.Millis = 1000
 
@@ -271,7 +287,7 @@
 		return
 	}
 	o.absencesCounted = now
-	for cause, n := range o.pool.Absences() {
+	for cause, n := range o.pool.Absences(now) {
 		o.Metrics.TasksAway.WithLabelValues(string(o.Pool), cause.String()).Set(float64(n))
 	}
 }
--- a/owner/workers_test.go
+++ b/owner/workers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -62,3 +63,16 @@
 		<-done
 	})
 }
+
+// Guards against an owner that takes its view of the workers for recent although its machine was suspended.
+func TestOwnerNoticesSuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newZonedPool(t)
+		p.suspended.Store(200)
+		time.Sleep(time.Second)
+		must.StrNotContains(t, p.log.String(), "was suspended")
+		p.suspended.Store(2200)
+		time.Sleep(time.Second)
+		must.Eq(t, 1, strings.Count(p.log.String(), "the machine was suspended"))
+	})
+}
--- a/schedule/availability.go
+++ b/schedule/availability.go
@@ -17,6 +17,7 @@
 	AbsentLost                       // its worker was lost, or the worker's leases have expired
 	AbsentEnded                      // its run failed, or ended by itself
 	AbsentSilent                     // its worker does not respond
+	AbsentUnseen                     // the newest list of its worker's runs is too old to tell
 	AbsentUnconfirmed                // it may have been stopped, by a former owner or by an order without an answer
 
 	numAbsences
@@ -24,13 +25,13 @@
 
 // String returns the cause's name in log lines and metrics.
 func (a Absence) String() string {
-	return [numAbsences]string{"none", "new", "stopped", "lost", "ended", "silent", "unconfirmed"}[a]
+	return [numAbsences]string{"none", "new", "stopped", "lost", "ended", "silent", "unseen", "unconfirmed"}[a]
 }
 
 // absence returns why the task is not known to work, or AtWork.
-func (t *task) absence() Absence {
+func (t *task) absence(now clock.Millis) Absence {
 	switch {
-	case t.isWorking():
+	case t.isWorking(now):
 		return AtWork
 	case t.state == unconfirmed || t.stopUntil != 0:
 		return AbsentUnconfirmed
@@ -38,6 +39,8 @@
 		return AbsentStopped
 	case t.state == running && !t.worker.reachable:
 		return AbsentSilent
+	case t.state == running && now-t.worker.listedAt > workEvidenceAge:
+		return AbsentUnseen
 	}
 	return max(AbsentNew, t.lastAbsence)
 }
@@ -55,6 +58,9 @@
 
 // Times that decide what is known of a run of a service.
 const (
+	// workEvidenceAge is the age up to which a list of a worker's runs shows that a task works. A stop may be
+	// on its way for a while, and users count a task as away that has not worked for 4.5 s, whatever the cause.
+	workEvidenceAge clock.Millis = 3000
 	// absenceEvidenceAge is the age up to which a list of a worker's runs shows that a run that is not in it
 	// does not work yet. A start that is carried out late takes about as long until its task works.
 	absenceEvidenceAge clock.Millis = 500
@@ -79,7 +85,7 @@
 	case reason == StopUnanswered || reason == StopExcessStart:
 		return t.isKnownAbsent(now)
 	}
-	return t.step.mayLose(t)
+	return t.step.mayLose(t, now)
 }
 
 // isKnownAbsent reports whether a run of which an order got no answer did not exist at its worker, according
@@ -145,7 +151,7 @@
 		if o == t {
 			continue
 		}
-		if a := o.absence(); a != AtWork {
+		if a := o.absence(now); a != AtWork {
 			d.Away++
 			d.Causes[a]++
 			continue
@@ -159,8 +165,16 @@
 	return d
 }
 
+// ForgetLists records that what workers listed is too old to tell whether tasks work, because the clock stood
+// still for a while. The next lists count again.
+func (p *Pool) ForgetLists(now clock.Millis) {
+	for _, w := range p.sortedWorkers {
+		w.listedAt = min(w.listedAt, now-workEvidenceAge-1)
+	}
+}
+
 // Absences returns the number of tasks of services that are not known to work, by cause.
-func (p *Pool) Absences() map[Absence]int {
+func (p *Pool) Absences(now clock.Millis) map[Absence]int {
 	p.services = slices.DeleteFunc(p.services, func(s *stepRun) bool { return s.job.state.Final() })
 	out := make(map[Absence]int, numAbsences)
 	for a := AbsentNew; a < numAbsences; a++ {
@@ -168,7 +182,7 @@
 	}
 	for _, s := range p.services {
 		for i := range s.tasks {
-			if a := s.tasks[i].absence(); a != AtWork {
+			if a := s.tasks[i].absence(now); a != AtWork {
 				out[a]++
 			}
 		}
--- a/schedule/availability_test.go
+++ b/schedule/availability_test.go
@@ -79,8 +79,8 @@
 	must.Eq(t, 1, stops[0].Causes[schedule.AbsentSilent])
 	must.Eq(t, 50, stops[0].Newest)
 	must.Eq(t, 50, stops[0].Oldest)
-	must.Eq(t, 1, s.pool.Absences()[schedule.AbsentStopped])
-	must.Eq(t, 1, s.pool.Absences()[schedule.AbsentSilent])
+	must.Eq(t, 1, s.pool.Absences(s.now)[schedule.AbsentStopped])
+	must.Eq(t, 1, s.pool.Absences(s.now)[schedule.AbsentSilent])
 }
 
 // ordersOf returns the orders of a kind.
@@ -124,7 +124,7 @@
 
 // away returns the numbers of absent tasks by cause, without those that are 0.
 func (s *serviceHarness) away() map[schedule.Absence]int {
-	out := s.pool.Absences()
+	out := s.pool.Absences(s.now)
 	for a, n := range out {
 		if n == 0 {
 			delete(out, a)
@@ -188,3 +188,26 @@
 		must.Len(t, c.stops, ordersOf(schedule.Stop, s.planAfter(0)), must.Sprint(c.name))
 	}
 }
+
+// Guards against a task of a service that is stopped on an old view of the others: a slow owner takes tasks for
+// working that have been away for seconds.
+func TestOldViewStopsNoServiceTask(t *testing.T) {
+	s := newServiceHarness(t, 3, 2)
+	s.pool.Cordon([]fleet.InstanceID{s.runs[s.task(0)].Worker}, s.now)
+	s.report(s.runs[s.task(0)], 100, 3500)
+	s.report(s.runs[s.task(1)], 100, 0)
+	must.Len(t, 0, s.planAfter(10))
+	must.Eq(t, map[schedule.Absence]int{schedule.AbsentUnseen: 1}, s.away())
+	s.report(s.runs[s.task(2)], 100, 0)
+	must.Len(t, 1, s.planAfter(10))
+}
+
+// Guards against the same after a suspension of the owner's machine, in which its clock stood still.
+func TestListsFromBeforeSuspensionStopNoServiceTask(t *testing.T) {
+	s := newServiceHarness(t, 3, 2)
+	s.pool.Cordon([]fleet.InstanceID{s.runs[s.task(0)].Worker}, s.now)
+	s.pool.ForgetLists(s.now)
+	must.Len(t, 0, s.planAfter(10))
+	s.reportAll(10)
+	must.Len(t, 1, s.planAfter(10))
+}
--- a/schedule/evacuate_move.go
+++ b/schedule/evacuate_move.go
@@ -114,10 +114,10 @@
 func (m *mover) maySpare(t *task) bool {
 	n, ok := m.notWorking[t.step]
 	if !ok {
-		n = t.step.countNotWorking(nil)
+		n = t.step.countNotWorking(nil, m.now)
 		m.notWorking[t.step] = n
 	}
-	if !t.isWorking() {
+	if !t.isWorking(m.now) {
 		n--
 	}
 	return n < t.step.maxNotWorking()
--- a/schedule/relieve.go
+++ b/schedule/relieve.go
@@ -192,7 +192,7 @@
 	case t.state != running || spec.Gang || t.unit().suspicion != unsuspected || t.isEndingSoon(now) || t.wasJustMoved(now):
 		return false
 	case spec.LongRunning:
-		return t.step.mayLose(t)
+		return t.step.mayLose(t, now)
 	case t.canResume():
 		return true
 	}
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -87,11 +87,10 @@
 	return t.state == starting || (t.state == stopping && (t.stopReason == StopUnanswered || t.stopReason == StopExcessStart))
 }
 
-// isWorking reports whether a long-running task is confirmed to do its work. The last report
-// of a worker that no longer responds does not count, nor does a run that a former owner may
-// have stopped.
-func (t *task) isWorking() bool {
-	return t.state == running && t.percent >= 100 && t.worker.reachable && t.stopUntil == 0
+// isWorking reports whether a long-running task is confirmed to do its work. The last report of a worker that
+// no longer responds does not count, nor does an old one, nor a run that may have been stopped.
+func (t *task) isWorking(now clock.Millis) bool {
+	return t.state == running && t.percent >= 100 && t.worker.reachable && t.stopUntil == 0 && now-t.worker.listedAt <= workEvidenceAge
 }
 
 // needs returns the resources that the task occupies on a worker.
@@ -156,14 +155,16 @@
 func (s *stepRun) maxNotWorking() int { return max(1, s.spec.MaxUnavailable) }
 
 // mayLose reports whether a task of a long-running step may be stopped while enough others work.
-func (s *stepRun) mayLose(t *task) bool { return s.countNotWorking(t) < s.maxNotWorking() }
+func (s *stepRun) mayLose(t *task, now clock.Millis) bool {
+	return s.countNotWorking(t, now) < s.maxNotWorking()
+}
 
 // countNotWorking returns the number of tasks of a long-running step, other than t, that are
 // not confirmed to work.
-func (s *stepRun) countNotWorking(t *task) int {
+func (s *stepRun) countNotWorking(t *task, now clock.Millis) int {
 	n := 0
 	for i := range s.tasks {
-		if o := &s.tasks[i]; o != t && !o.isWorking() {
+		if o := &s.tasks[i]; o != t && !o.isWorking(now) {
 			n++
 		}
 	}
