--- a/owner/commit.go
+++ b/owner/commit.go
@@ -413,8 +413,8 @@
 	return append(args, "machine", e.Machine, "rack", e.Rack)
 }
 
-// stopArgs returns the attributes of the log line for the stop of a task of a service.
-func stopArgs(s *schedule.ServiceStop) []any {
+// stopArgs returns the attributes of the log line for the stop of a long-running task.
+func stopArgs(s *schedule.LongRunningStop) []any {
 	args := []any{"reason", string(s.Reason), "away", s.Away, "limit", s.Limit, "newest_report_ms", int64(s.Newest), "oldest_report_ms", int64(s.Oldest)}
 	for a, n := range s.Causes {
 		if n > 0 {
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -18,7 +18,7 @@
 	Suspects *prometheus.GaugeVec
 	// TeamsOverShare is the number of teams of each pool that have more than their share.
 	TeamsOverShare *prometheus.GaugeVec
-	// TasksAway is the number of tasks of services in each pool that are not known to work, by cause.
+	// TasksAway is the number of long-running tasks in each pool that are not known to work, by cause.
 	TasksAway *prometheus.GaugeVec
 	// Dispatchers is the number of dispatchers of each pool that the process owns.
 	Dispatchers *prometheus.GaugeVec
@@ -61,7 +61,7 @@
 			Name: "citronknot_pool_teams_over_share", Help: "Teams that have more than their share of the pool while others wait.",
 		}, []string{"pool"}),
 		TasksAway: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "citronknot_service_tasks_away",
+			Name: "citronknot_long_running_tasks_away",
 			Help: "Long-running tasks that are not known to work, by cause: new, stopped, lost, ended, silent, unseen or unconfirmed.",
 		}, []string{"pool", "cause"}),
 		Dispatchers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -278,10 +278,10 @@
 	}
 }
 
-// absenceInterval is the time between two counts of the tasks of services that are away.
+// absenceInterval is the time between two counts of the long-running tasks that are away.
 const absenceInterval clock.Millis = 1000
 
-// countAbsences updates the metric of the tasks of services that are away, if that is due.
+// countAbsences updates the metric of the long-running tasks that are away, if that is due.
 func (o *Owner) countAbsences(now clock.Millis) {
 	if now-o.absencesCounted < absenceInterval {
 		return
--- a/schedule/availability.go
+++ b/schedule/availability.go
@@ -6,7 +6,7 @@
 	"citronknot/clock"
 )
 
-// Absence is why a task of a service, a step of long-running tasks, is not known to work.
+// Absence is why a long-running task is not known to work.
 type Absence uint8
 
 // The causes of absences.
@@ -56,7 +56,7 @@
 	return AbsentEnded
 }
 
-// Times that decide what is known of a run of a service.
+// Times that decide what is known of a long-running task.
 const (
 	// workEvidenceAge is the age up to which a list of a worker's runs shows that a task works. A stop may be
 	// on its way for a while, and users count a task as away that has not worked for 4.5 s, whatever the cause.
@@ -69,7 +69,7 @@
 )
 
 // mayStop reports whether a stop may be ordered for a task, for the first time or again. It is the only
-// function that keeps the pool from ending more tasks of a service at once than the service allows, and each
+// function that keeps the pool from ending more tasks of a long-running step at once than the step allows, and each
 // stop of a task that occupies a worker passes it. Not subject to the limit are:
 //   - a job in a final state, whose tasks nobody needs;
 //   - a gang that could not start as a whole, as its tasks work only together;
@@ -99,7 +99,7 @@
 	return since != 0 && listed > since && listed > t.listedAt && now-listed <= absenceEvidenceAge
 }
 
-// startUnknown records that a start may or may not have been carried out. The run of a service stays where
+// startUnknown records that a start may or may not have been carried out. A long-running one stays where
 // it is until the worker lists it or is known not to run it.
 func (p *Pool) startUnknown(t *task, now clock.Millis) {
 	if !t.step.spec.LongRunning {
@@ -109,10 +109,10 @@
 	p.clearStarting(t)
 	t.unansweredAt = now
 	p.unansweredStarts[t] = true
-	p.emit(Event{Kind: "service_start_unanswered", Task: t.ref(), Run: t.run, Worker: t.worker.ID})
+	p.emit(Event{Kind: "long_running_start_unanswered", Task: t.ref(), Run: t.run, Worker: t.worker.ID})
 }
 
-// repeatStop sends a stop without an answer again. The stop of a service's task is taken back if it may not
+// repeatStop sends a stop without an answer again. The stop of a long-running task is taken back if it may not
 // be sent any more and the worker still lists the run.
 func (p *Pool) repeatStop(t *task, now clock.Millis) {
 	switch {
@@ -130,12 +130,12 @@
 	p.confirmStart(t, now)
 	t.stopReason = ""
 	t.stopUntil = t.stopSentAt + lateOrderTime + p.StopTime
-	p.emit(Event{Kind: "service_stop_taken_back", Task: t.ref(), Run: t.run, Worker: t.worker.ID})
+	p.emit(Event{Kind: "long_running_stop_taken_back", Task: t.ref(), Run: t.run, Worker: t.worker.ID})
 }
 
-// ServiceStop describes the stop of a task of a service, for the log: what was known of the other tasks
+// LongRunningStop describes the stop of a long-running task, for the log: what was known of the other tasks
 // of its step when it was ordered.
-type ServiceStop struct {
+type LongRunningStop struct {
 	Reason         StopReason
 	Away           int              // other tasks that were not known to work
 	Limit          int              // tasks that may be away because of the pool's orders
@@ -143,9 +143,9 @@
 	Newest, Oldest clock.Millis     // ages of the polls from which the working tasks are known; -1 if there is none
 }
 
-// describeStop returns what is known of the other tasks of a service as one of them is stopped.
-func (s *stepRun) describeStop(t *task, reason StopReason, now clock.Millis) *ServiceStop {
-	d := &ServiceStop{Reason: reason, Limit: s.maxNotWorking(), Newest: -1, Oldest: -1}
+// describeStop returns what is known of the other tasks of a long-running step as one of them is stopped.
+func (s *stepRun) describeStop(t *task, reason StopReason, now clock.Millis) *LongRunningStop {
+	d := &LongRunningStop{Reason: reason, Limit: s.maxNotWorking(), Newest: -1, Oldest: -1}
 	for i := range s.tasks {
 		o := &s.tasks[i]
 		if o == t {
@@ -173,14 +173,14 @@
 	}
 }
 
-// Absences returns the number of tasks of services that are not known to work, by cause.
+// Absences returns the number of long-running tasks that are not known to work, by cause.
 func (p *Pool) Absences(now clock.Millis) map[Absence]int {
-	p.services = slices.DeleteFunc(p.services, func(s *stepRun) bool { return s.job.state.Final() })
+	p.longRunningSteps = slices.DeleteFunc(p.longRunningSteps, func(s *stepRun) bool { return s.job.state.Final() })
 	out := make(map[Absence]int, numAbsences)
 	for a := AbsentNew; a < numAbsences; a++ {
 		out[a] = 0
 	}
-	for _, s := range p.services {
+	for _, s := range p.longRunningSteps {
 		for i := range s.tasks {
 			if a := s.tasks[i].absence(now); a != AtWork {
 				out[a]++
--- a/schedule/availability_test.go
+++ b/schedule/availability_test.go
@@ -52,10 +52,10 @@
 }
 
 // stopEvents returns the descriptions of the stops so far.
-func (s *serviceHarness) stopEvents() []*schedule.ServiceStop {
-	var out []*schedule.ServiceStop
+func (s *serviceHarness) stopEvents() []*schedule.LongRunningStop {
+	var out []*schedule.LongRunningStop
 	for _, e := range s.events {
-		if e.Kind == "service_run_stopped" {
+		if e.Kind == "long_running_stop" {
 			out = append(out, e.Stop)
 		}
 	}
--- a/schedule/load.go
+++ b/schedule/load.go
@@ -153,7 +153,7 @@
 	}
 }
 
-// evict stops tasks of a worker that can continue elsewhere, those of services as far as [Pool.mayStop]
+// evict stops tasks of a worker that can continue elsewhere, long-running ones as far as [Pool.mayStop]
 // allows it. Only it, [Pool.moveOutOfZones] and [Pool.relieve] stop running long-running tasks on the
 // scheduler's own initiative.
 func (p *Pool) evict(w *worker, now clock.Millis) {
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -194,8 +194,10 @@
 	return nil
 }
 
-// observeRun processes one run that a worker lists as running. A run that the pool does not
-// expect is stopped.
+// observeRun processes one run that a worker lists as running. A run that the pool does not expect is
+// stopped, without a look at [Pool.mayStop]: its job is unknown or final, or a newer run of its task was
+// started, which happens only once the lease of this one has expired or its stop was accepted, and two runs of a
+// task must not go on.
 func (p *Pool) observeRun(w *worker, r *RunReport, now clock.Millis) {
 	t := p.find(r.Task)
 	if t != nil && t.worker == w && t.run == r.Run {
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -136,5 +136,5 @@
 
 	Wait *PlaceWait // of a wait for a near place
 
-	Stop *ServiceStop // of an order that ends a run of a service
+	Stop *LongRunningStop // of an order that ends a long-running task
 }
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -69,11 +69,11 @@
 	pendingJobs      map[fleet.QueueID]int          // jobs of which no task has started
 	arrivedWork      int64                          // see Load.Arrived
 	dirtyJobs        map[job.ID]*Job
-	services         []*stepRun // long-running steps; those of jobs in a final state are removed later
+	longRunningSteps []*stepRun // those of jobs in a final state are removed later
 	orders           []Order
 	stoppingTasks    map[*task]bool              // tasks in state stopping
 	startingTasks    map[*task]*starter          // tasks in state starting, with the member that sent the order
-	unansweredStarts map[*task]bool              // tasks of services with unansweredAt
+	unansweredStarts map[*task]bool              // long-running tasks with unansweredAt
 	starters         map[fleet.MemberID]*starter // members that have workers; the empty id is the owner
 	recoveryFinished bool                        // recovered tasks may start
 	recoveredAt      clock.Millis                // when recovery finished
@@ -209,7 +209,7 @@
 		}
 		o.steps = append(o.steps, s)
 		if s.spec.LongRunning {
-			p.services = append(p.services, s)
+			p.longRunningSteps = append(p.longRunningSteps, s)
 		}
 	}
 	j.occurrences = append(j.occurrences, o)
@@ -348,11 +348,11 @@
 	return true
 }
 
-// orderStop adds the stop order for a task in state stopping.
+// orderStop adds the stop order for a task in state stopping. The caller has asked [Pool.mayStop].
 func (p *Pool) orderStop(t *task) {
 	if t.step.spec.LongRunning && t.stopReason != StopFinal {
 		p.emit(Event{
-			Kind: "service_run_stopped", Task: t.ref(), Run: t.run, Worker: t.worker.ID, Stop: t.step.describeStop(t, t.stopReason, t.stopSentAt),
+			Kind: "long_running_stop", Task: t.ref(), Run: t.run, Worker: t.worker.ID, Stop: t.step.describeStop(t, t.stopReason, t.stopSentAt),
 		})
 	}
 	p.orders = append(p.orders, Order{
