Let the simulation of services change, slow and freeze their owner

Change: owners are replaced, slow or frozen; workers refuse orders of former owners that they have seen replaced, and end runs whose leases have expired.

--- a/schedule/availability_simulation_test.go
+++ b/schedule/availability_simulation_test.go
@@ -24,7 +24,7 @@
 )
 
 // serviceSimulation drives a pool with services on workers that leave orders unanswered and carry them out
-// late, that fall silent, and that are cordoned one after another. Its owner is slow at times. It checks at
+// late, that fall silent, and that are cordoned one after another. Its owner is slow or frozen at times, and is replaced. It checks at
 // each stop that is carried out at once whether more tasks of the step are away than the step allows.
 type serviceSimulation struct {
 	*harness
@@ -32,10 +32,14 @@
 	workers  map[fleet.InstanceID]*serviceWorker
 	order    []*serviceWorker
 	tasks    map[job.Ref]*serviceTask
+	jobs     []*job.Job
 	limits   []int // by job
+	fence    int   // of the owner
+	tookOver clock.Millis
 	due      []simulatedAction
-	lateness float64 // part of the orders that are carried out late
-	slow     bool    // the owner is slow
+	lateness float64      // part of the orders that are carried out late
+	slow     bool         // the owner is slow
+	frozen   clock.Millis // until when the owner stands still
 	breaches []string
 }
 
@@ -51,6 +55,8 @@
 	runs        map[job.Ref]*serviceRun
 	highest     map[job.Ref]int // runs up to this number are rejected
 	silentUntil clock.Millis
+	fence       int // highest that it has seen
+	listed      int // newest owner that has received a list of its runs
 	heardAt     clock.Millis
 	leaseEnd    clock.Millis // of all runs there
 	nextPoll    clock.Millis
@@ -77,26 +83,51 @@
 	s := &serviceSimulation{
 		harness: newHarness(t, 0), rand: rand.New(rand.NewPCG(seed, 31)), workers: map[fleet.InstanceID]*serviceWorker{}, tasks: map[job.Ref]*serviceTask{},
 	}
-	s.pool = schedule.New(schedule.Config{Pool: "p", StopTime: 900, OnEvent: func(e schedule.Event) { s.events = append(s.events, e) }})
-	s.pool.FinishRecovery(0)
 	s.now = 10_000
 	for i := range 10 {
 		w := &serviceWorker{id: workerID(i), runs: map[job.Ref]*serviceRun{}, highest: map[job.Ref]int{}, reachable: true}
 		s.workers[w.id], s.order = w, append(s.order, w)
-		s.addWorker(w.id, 16000)
 	}
 	for n := range 6 {
 		step := newStep(3 + s.rand.IntN(4))
 		step.LongRunning, step.MaxUnavailable = true, 1+s.rand.IntN(4)/3
 		s.limits = append(s.limits, step.MaxUnavailable)
-		s.pool.Add(newJob(n+1, step), testPolicy, nil, 0, s.now)
+		s.jobs = append(s.jobs, newJob(n+1, step))
 		for i := range step.Count {
 			s.tasks[job.Ref{Job: jobID(n + 1), Index: i}] = &serviceTask{}
 		}
 	}
+	s.replaceOwner()
 	return s
 }
 
+// replaceOwner lets another owner take the pool over. It knows the jobs and the workers, and not what runs.
+// Orders of the former owner are refused by workers that the new one has polled.
+func (s *serviceSimulation) replaceOwner() {
+	s.fence++
+	s.tookOver = s.now
+	s.pool = schedule.New(schedule.Config{
+		Pool: "p", RunBase: 1000 * s.fence, StopTime: 900, OnEvent: func(e schedule.Event) { s.events = append(s.events, e) },
+	})
+	for _, j := range s.jobs {
+		s.pool.Add(j, testPolicy, &job.Progress{}, 0, s.now)
+	}
+	for _, w := range s.order {
+		s.pool.SetWorker(schedule.Worker{ID: w.id, Incarnation: 1, Rack: "r1-1", Capacity: job.Resources{CPU: 16000, Memory: 32768}}, s.now)
+		w.reachable, w.polling, w.heardAt = false, false, s.now
+	}
+}
+
+// recover finishes the recovery of a new owner once all workers have responded, or their leases have expired.
+func (s *serviceSimulation) recover() {
+	for _, w := range s.order {
+		if w.listed < s.fence && s.now <= max(w.leaseEnd, s.tookOver+simulatedLease) {
+			return
+		}
+	}
+	s.pool.FinishRecovery(s.now)
+}
+
 // run advances the simulation.
 func (s *serviceSimulation) run(d clock.Millis) {
 	for end := s.now + d; s.now < end; {
@@ -105,9 +136,10 @@
 		for _, w := range s.order {
 			s.advance(w)
 		}
-		if s.slow && s.rand.IntN(30) != 0 {
+		if s.now < s.frozen || (s.slow && s.rand.IntN(30) != 0) {
 			continue
 		}
+		s.recover()
 		for _, o := range s.pool.Plan(s.now, s.now) {
 			s.send(o)
 		}
@@ -132,6 +164,17 @@
 	}
 }
 
+// toOwner lets the owner process something later, after it has thawed.
+func (s *serviceSimulation) toOwner(d clock.Millis, do func()) {
+	s.after(d, func() {
+		if s.now < s.frozen {
+			s.toOwner(s.frozen-s.now+clock.Millis(s.rand.IntN(50)), do)
+			return
+		}
+		do()
+	})
+}
+
 // ownerDelay is how long the owner takes to process a response.
 func (s *serviceSimulation) ownerDelay() clock.Millis {
 	if s.slow {
@@ -143,23 +186,27 @@
 // send sends an order, which may get no answer and be carried out late.
 func (s *serviceSimulation) send(o schedule.Order) {
 	w := s.workers[o.Worker]
+	fence, pool := s.fence, s.pool
 	answered := func(outcome schedule.Outcome) func() {
-		return func() { s.pool.Answered(o, outcome, s.now) }
+		return func() { pool.Answered(o, outcome, s.now) }
 	}
 	if o.Kind == schedule.Start {
 		w.leaseEnd = s.now + simulatedLease
 	}
 	if s.now < w.silentUntil || s.rand.Float64() < s.lateness {
-		s.after(2000+clock.Millis(s.rand.IntN(2500)), func() { s.carryOut(w, o, true) })
-		s.after(400+s.ownerDelay(), answered(schedule.UnknownOutcome))
+		s.after(2000+clock.Millis(s.rand.IntN(2500)), func() { s.carryOut(w, o, fence, true) })
+		s.toOwner(400+s.ownerDelay(), answered(schedule.UnknownOutcome))
 		return
 	}
-	outcome := s.carryOut(w, o, false)
-	s.after(s.ownerDelay(), answered(outcome))
+	outcome := s.carryOut(w, o, fence, false)
+	s.toOwner(s.ownerDelay(), answered(outcome))
 }
 
 // carryOut carries out an order at its worker.
-func (s *serviceSimulation) carryOut(w *serviceWorker, o schedule.Order, late bool) schedule.Outcome {
+func (s *serviceSimulation) carryOut(w *serviceWorker, o schedule.Order, fence int, late bool) schedule.Outcome {
+	if fence < w.fence {
+		return schedule.NotSent
+	}
 	if late && (s.now < w.silentUntil || (o.Kind == schedule.Start && s.now > w.leaseEnd)) {
 		return schedule.UnknownOutcome
 	}
@@ -212,6 +259,9 @@
 	for ref, r := range w.runs {
 		t := s.tasks[ref]
 		switch {
+		case s.now > w.leaseEnd:
+			delete(w.runs, ref)
+			w.ended = append(w.ended, schedule.EndReport{Task: ref, Run: r.run, Kind: schedule.EndExpired})
 		case r.endsAt != 0 && s.now >= r.endsAt:
 			t.endedByOrder = t.endedByOrder || r.ordered
 			delete(w.runs, ref)
@@ -224,7 +274,7 @@
 		s.advanceSilent(w)
 		return
 	}
-	if w.heardAt = s.now; s.now < w.nextPoll || w.polling {
+	if w.heardAt = s.now; s.now < w.nextPoll || w.polling || s.now < s.frozen {
 		return
 	}
 	w.nextPoll, w.leaseEnd = s.now+simulatedPoll, max(w.leaseEnd, s.now+simulatedLease)
@@ -237,32 +287,45 @@
 		}
 		report.Running = append(report.Running, schedule.RunReport{Task: ref, Run: r.run, Percent: percent})
 	}
-	w.polling = true
-	s.after(s.ownerDelay(), func() {
+	w.polling, w.fence = true, s.fence
+	fence := s.fence
+	s.toOwner(s.ownerDelay(), func() {
+		if fence != s.fence {
+			return
+		}
 		w.polling = false
 		if !w.reachable {
 			w.reachable = true
 			s.pool.SetReachable(w.id, true, s.now)
 		}
 		s.pool.Observe(w.id, report, s.now)
+		w.listed = fence
 	})
 }
 
 // advanceSilent lets the owner notice that a worker does not respond, and that its leases have expired.
 func (s *serviceSimulation) advanceSilent(w *serviceWorker) {
-	if w.reachable && s.now-w.heardAt > 1000 {
+	if s.now < s.frozen {
+		return
+	}
+	if w.reachable && s.now-max(w.heardAt, s.frozen) > 1000 {
 		w.reachable = false
 		s.pool.SetReachable(w.id, false, s.now)
 	}
 	if s.now > w.leaseEnd && !w.polling {
-		w.runs = map[job.Ref]*serviceRun{}
 		s.pool.ExpireLeases(w.id, s.now)
 	}
 }
 
 // disturb begins a random disturbance, or planned work.
 func (s *serviceSimulation) disturb() {
-	switch s.rand.IntN(5) {
+	switch s.rand.IntN(7) {
+	case 6:
+		s.frozen = s.now + clock.Millis(s.rand.IntN(4200))
+	case 5:
+		if s.rand.IntN(3) == 0 {
+			s.replaceOwner()
+		}
 	case 0:
 		s.lateness = 0.7 * float64(min(1, s.rand.IntN(4)))
 	case 1:
@@ -280,7 +343,8 @@
 }
 
 // Guards against services of which more tasks are away than they allow because of the pool's own stops, for
-// any order of silent workers, late and unanswered orders, a slow owner and machines that have to be emptied;
+// any order of silent workers, late and unanswered orders, a slow or frozen owner, changes of the owner, and machines that
+// have to be emptied;
 // and against tasks that stay away once all is calm.
 func TestServicesStayAvailableUnderFailures(t *testing.T) {
 	for seed := range uint64(60) {
