Keep cordons while an order of a former fleet leader may be on its way

It held its own orders to the machines of its predecessor's record for 4 s, but tasks could start there while the predecessor's order was on its way. Evidence: TestCordonsOutlastTheFleetLeader and TestNewFleetLeaderKeepsCordons fail without the change. Change: for the time of the hold, a leader that had a predecessor tells owners to keep the cordons that they have beside its own.

--- a/hosted/fleet.go
+++ b/hosted/fleet.go
@@ -54,8 +54,10 @@
 	lease      *rowstore.OwnerLease
 	calls      machine.Calls
 	ordersFrom clock.Millis // the earliest time at which any machine may be sent orders
-	cancel     context.CancelFunc
-	done       chan struct{}
+	// handoverEnd is the time until which an order of a former leader may be on its way; 0 if there was none.
+	handoverEnd clock.Millis
+	cancel      context.CancelFunc
+	done        chan struct{}
 
 	mu            sync.Mutex
 	planner       *machine.Planner
@@ -80,6 +82,9 @@
 		ledger:  quota.New(now), endedWorkers: map[fleet.PoolID][]endedWorker{}, recentOrders: map[machine.ID]clock.Millis{},
 		savedCounts: map[int]int{}, writtenStates: map[int]machine.WaveState{},
 	}
+	if lease.Fence() > 1 {
+		leader.handoverEnd = now + leader.handoverTime()
+	}
 	p.mu.Lock()
 	p.fleetLeader = leader
 	p.mu.Unlock()
@@ -363,7 +368,7 @@
 	defer l.mu.Unlock()
 	l.planner.SetLoad(report.PoolLoad, now)
 	direction := owner.Direction{
-		Cordon: l.planner.Cordons(report.Pool), Ended: l.recentlyEnded(report.Pool, now),
+		Cordon: l.planner.Cordons(report.Pool), KeepCordons: now < l.handoverEnd, Ended: l.recentlyEnded(report.Pool, now),
 		Arriving:   l.arriving(report.Pool, now),
 		Allowances: l.ledger.Report(report.Pool, report.Fence, report.Teams, now),
 	}
--- a/hosted/fleet_handover_test.go
+++ b/hosted/fleet_handover_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -97,3 +100,33 @@
 		return string(record) == `{"fence":1,"machines":[]}`
 	})
 }
+
+// Guards against tasks that start on a machine to which an order of the former leader is on its way: a new leader
+// tells the owners to keep the former one's cordons, until no such order can arrive any more.
+func TestNewFleetLeaderKeepsCordons(t *testing.T) {
+	t.Parallel()
+	keeps := func(c *cluster) bool {
+		for _, m := range c.members {
+			if m.stopped {
+				continue
+			}
+			url := fmt.Sprintf("http://127.0.0.1:%d/v1/fleet/report", m.settings.PeerPort)
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader(`{"pool":"none"}`))
+			must.NoError(t, err)
+			response, err := http.DefaultClient.Do(request)
+			must.NoError(t, err)
+			body, err := io.ReadAll(response.Body)
+			response.Body.Close()
+			must.NoError(t, err)
+			if response.StatusCode == http.StatusOK {
+				return strings.Contains(string(body), `"keep_cordons":true`)
+			}
+		}
+		return false
+	}
+	c := newFleetCluster(t, time.Minute)
+	c.killFleetLeader()
+	c.waitFor(10*time.Second, "the new leader keeps cordons", func() bool { return keeps(c) })
+	short := newFleetCluster(t, 100*time.Millisecond)
+	short.waitFor(10*time.Second, "cordons are not kept any more", func() bool { return !keeps(short) })
+}
--- a/hosted/report_wire.go
+++ b/hosted/report_wire.go
@@ -61,7 +61,8 @@
 // wireDirection is the fleet leader's response to a wireReport.
 type wireDirection struct {
 	Cordon        []string                 `json:"cordon,omitempty"` // workers that take no new tasks
-	Ended         []string                 `json:"ended,omitempty"`  // workers that ended through orders to machines
+	KeepCordons   bool                     `json:"keep_cordons,omitempty"`
+	Ended         []string                 `json:"ended,omitempty"` // workers that ended through orders to machines
 	Allowances    map[string]wireResources `json:"allowances,omitempty"`
 	HasAllowances bool                     `json:"ruled,omitempty"` // Allowances applies, even if it is empty
 	Arriving      []wireArrival            `json:"arriving,omitempty"`
@@ -105,7 +106,7 @@
 }
 
 func encodeDirection(direction *owner.Direction) wireDirection {
-	w := wireDirection{HasAllowances: direction.Allowances != nil, Allowances: make(map[string]wireResources, len(direction.Allowances))}
+	w := wireDirection{KeepCordons: direction.KeepCordons, HasAllowances: direction.Allowances != nil, Allowances: make(map[string]wireResources, len(direction.Allowances))}
 	for _, id := range direction.Cordon {
 		w.Cordon = append(w.Cordon, string(id))
 	}
@@ -122,7 +123,7 @@
 }
 
 func (w *wireDirection) decode() owner.Direction {
-	var direction owner.Direction
+	direction := owner.Direction{KeepCordons: w.KeepCordons}
 	for _, id := range w.Cordon {
 		direction.Cordon = append(direction.Cordon, fleet.InstanceID(id))
 	}
--- a/owner/report.go
+++ b/owner/report.go
@@ -21,10 +21,13 @@
 
 // Direction is the fleet leader's response to a Report.
 type Direction struct {
-	Cordon     []fleet.InstanceID             // workers to drain; all others may take tasks
-	Ended      []fleet.InstanceID             // workers whose machines the fleet leader has moved or shut down
-	Allowances map[fleet.TeamID]job.Resources // what the running tasks of each team may use in this pool; nil changes nothing
-	Arriving   []Arrival                      // machines on their way to the pool
+	Cordon []fleet.InstanceID // workers to drain; all others may take tasks
+	// KeepCordons says that workers which are cordoned now stay so, because an order of a former fleet leader
+	// to their machines may be on its way.
+	KeepCordons bool
+	Ended       []fleet.InstanceID             // workers whose machines the fleet leader has moved or shut down
+	Allowances  map[fleet.TeamID]job.Resources // what the running tasks of each team may use in this pool; nil changes nothing
+	Arriving    []Arrival                      // machines on their way to the pool
 }
 
 // Arrival is capacity that is on its way to a pool.
@@ -105,6 +108,9 @@
 		arrivals = append(arrivals, schedule.Arrival{At: now + a.In, Capacity: a.Capacity})
 	}
 	o.pool.SetArrivals(arrivals)
+	if d.KeepCordons {
+		d.Cordon = append(d.Cordon, o.pool.Cordoned()...)
+	}
 	slices.Sort(d.Cordon)
 	o.pool.Cordon(d.Cordon, now)
 	wake(o.planWake)
--- a/owner/report_test.go
+++ b/owner/report_test.go
@@ -58,3 +58,22 @@
 		<-done
 	})
 }
+
+// Guards against tasks that start on a machine to which an order of the former fleet leader is on its way, and
+// end with it: the new leader does not know that the worker was drained for the order.
+func TestCordonsOutlastTheFleetLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newZonedPool(t)
+		cordoned := func() bool {
+			report, ok := p.owner.Report()
+			must.True(t, ok)
+			return report.Workers[0].Drained
+		}
+		p.owner.Direct(owner.Direction{Cordon: []fleet.InstanceID{"w1"}})
+		must.True(t, cordoned())
+		p.owner.Direct(owner.Direction{KeepCordons: true})
+		must.True(t, cordoned())
+		p.owner.Direct(owner.Direction{})
+		must.False(t, cordoned())
+	})
+}
--- a/schedule/load.go
+++ b/schedule/load.go
@@ -126,6 +126,17 @@
 	p.countLeaving()
 }
 
+// Cordoned returns the workers that are cordoned, sorted by id.
+func (p *Pool) Cordoned() []fleet.InstanceID {
+	var out []fleet.InstanceID
+	for _, w := range p.sortedWorkers {
+		if w.cordoned {
+			out = append(out, w.ID)
+		}
+	}
+	return out
+}
+
 // countLeaving updates the number of workers that are cordoned or draining.
 func (p *Pool) countLeaving() {
 	p.leavingWorkers = 0
