--- a/owner/commit_test.go
+++ b/owner/commit_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"slices"
 	"sync"
 	"testing"
@@ -12,7 +11,6 @@
 
 	"github.com/shoenig/test/must"
 
-	"citronknot/clock"
 	"citronknot/fleet"
 	"citronknot/job"
 	"citronknot/owner"
@@ -69,23 +67,12 @@
 			}
 			return store.transact(ctx, tx)
 		}
-		started := time.Now()
-		testClock := clock.Clock{NowFunc: func() clock.Millis { return clock.MillisOf(time.Since(started)) }}
-		lease := &rowstore.OwnerLease{Table: table, Clock: testClock, Partition: "p", Self: "m", Address: "m:1"}
-		must.NoError(t, lease.Observe(rowstore.Row{}))
-		claimed, err := lease.Claim(t.Context())
-		must.NoError(t, err)
-		must.True(t, claimed)
 		w := &endingWorker{failing: "00000000000000aa"}
-		poolOwner := owner.New(owner.Config{
-			Pool: "p", Lease: lease, Former: rowstore.HolderReleased, Table: table, Clock: testClock, Calls: w.calls(), Log: slog.New(slog.DiscardHandler),
-			Metrics: owner.NewMetrics(), FinalStateRetention: 60_000, MaxRowBytes: maxRowBytes,
+		poolOwner := startOwner(t, owner.Config{
+			Table: table, Former: rowstore.HolderReleased, Calls: w.calls(), FinalStateRetention: 60_000, MaxRowBytes: maxRowBytes,
 			Policy: func(fleet.QueueID) (schedule.Policy, bool) { return schedule.Policy{Attempts: 100}, true },
 		})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error, 1)
-		go func() { done <- poolOwner.Run(ctx) }()
-		time.Sleep(100 * time.Millisecond)
+		ctx := t.Context()
 		poolOwner.SetWorkers([]owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: 1, Capacity: job.Resources{CPU: 1000}}, Address: "a"}})
 		time.Sleep(time.Second)
 		step := job.Step{Count: 50, Needs: job.Resources{CPU: 10}}
@@ -100,7 +87,6 @@
 		status, _, err = poolOwner.Status(ctx, "00000000000000bb")
 		must.NoError(t, err)
 		must.Eq(t, job.Complete, status.State)
-		cancel()
-		must.True(t, errors.Is(<-done, context.Canceled))
+		must.True(t, errors.Is(poolOwner.stop(), context.Canceled))
 	})
 }
--- a/owner/dispatch_test.go
+++ b/owner/dispatch_test.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
-	"citronknot/clock"
 	"citronknot/dispatcher"
 	"citronknot/fleet"
 	"citronknot/job"
@@ -24,33 +22,20 @@
 type dividedPool struct {
 	t       *testing.T
 	store   *fakeStore
-	owner   *owner.Owner
+	owner   *runningOwner
 	workers *fakeWorkers
 	request dispatcher.PollRequest
 	results uint64
-	cancel  context.CancelFunc
-	done    chan error
 }
 
 // newDividedPool returns an owner whose CPU suffices for one worker.
 func newDividedPool(t *testing.T) *dividedPool {
-	p := &dividedPool{t: t, store: &fakeStore{rows: map[rowstore.Ref]rowstore.Row{}}, workers: &fakeWorkers{}, done: make(chan error, 1)}
-	started := time.Now()
-	testClock := clock.Clock{NowFunc: func() clock.Millis { return clock.MillisOf(time.Since(started)) }}
-	lease := &rowstore.OwnerLease{Table: p.store.table(), Clock: testClock, Partition: "p", Self: "m0", Address: "m0:1"}
-	must.NoError(t, lease.Observe(rowstore.Row{}))
-	claimed, err := lease.Claim(t.Context())
-	must.NoError(t, err)
-	must.True(t, claimed)
-	p.owner = owner.New(owner.Config{
-		Pool: "p", Lease: lease, Former: rowstore.HolderReleased, CPUCores: 0.02, Table: p.store.table(), Clock: testClock, Calls: p.workers.calls(),
-		Log: slog.New(slog.DiscardHandler), Metrics: owner.NewMetrics(), FinalStateRetention: 1000,
-		Policy: func(fleet.QueueID) (schedule.Policy, bool) { return schedule.Policy{Attempts: 3}, true },
+	p := &dividedPool{t: t, store: newStore(), workers: &fakeWorkers{}}
+	testClock := newClock()
+	p.owner = startOwner(t, owner.Config{
+		Lease: claimLease(t, p.store.table(), testClock, "m0"), Former: rowstore.HolderReleased, CPUCores: 0.02, Table: p.store.table(), Clock: testClock,
+		Calls: p.workers.calls(), Policy: func(fleet.QueueID) (schedule.Policy, bool) { return schedule.Policy{Attempts: 3}, true },
 	})
-	ctx, cancel := context.WithCancel(t.Context())
-	p.cancel = cancel
-	go func() { p.done <- p.owner.Run(ctx) }()
-	time.Sleep(100 * time.Millisecond)
 	var listed []owner.ListedWorker
 	for _, id := range []fleet.InstanceID{"w1", "w2"} {
 		listed = append(listed, owner.ListedWorker{Worker: schedule.Worker{ID: id, Incarnation: 5, Capacity: job.Resources{CPU: 1000}}, Address: "a"})
@@ -60,12 +45,6 @@
 	return p
 }
 
-// stop stops the owner and returns its error.
-func (p *dividedPool) stop() error {
-	p.cancel()
-	return <-p.done
-}
-
 // poll asks for the next batch as a dispatcher with a given session does, and confirms it with the
 // next request.
 func (p *dividedPool) poll(session dispatcher.SessionID) dispatcher.Batch {
@@ -135,7 +114,7 @@
 			}
 		}
 		must.Eq(t, []schedule.OrderKind{schedule.Stop, schedule.Stop}, orders)
-		must.Error(t, p.stop())
+		must.Error(t, p.owner.stop())
 	})
 }
 
@@ -155,7 +134,7 @@
 		must.Eq(t, 2, dump.Dispatchers[0].Workers)
 		must.Eq(t, 0, dump.DispatchersWanted)
 		p.owner.TakeResults(dispatcher.Results{Member: "m1", Session: "s1", Number: 99, Leaving: true})
-		must.ErrorIs(t, p.stop(), context.Canceled)
+		must.ErrorIs(t, p.owner.stop(), context.Canceled)
 	})
 }
 
@@ -174,7 +153,7 @@
 		time.Sleep(time.Second)
 		must.Len(t, 0, p.owner.Dump().Dispatchers)
 		must.True(t, p.poll("s1").Ended, must.Sprint("the service does not go on"))
-		_ = p.stop()
+		_ = p.owner.stop()
 	})
 }
 
@@ -192,7 +171,7 @@
 		must.Eq(t, order, again.Orders[0])
 		must.Len(t, 0, p.poll("s1").Orders)
 		p.owner.TakeResults(dispatcher.Results{Member: "m1", Session: "s1", Number: 99, Leaving: true})
-		_ = p.stop()
+		_ = p.owner.stop()
 	})
 }
 
@@ -218,7 +197,7 @@
 		must.NotEq(t, job.Complete, status.State)
 		must.Eq(t, 0, p.poll("s2").Durable)
 		p.owner.TakeResults(dispatcher.Results{Member: "m1", Session: "s2", Number: 99, Leaving: true})
-		_ = p.stop()
+		_ = p.owner.stop()
 	})
 }
 
@@ -246,7 +225,7 @@
 		time.Sleep(time.Second)
 		must.Eq(t, 1, p.poll("s1").Durable)
 		p.owner.TakeResults(dispatcher.Results{Member: "m1", Session: "s1", Number: 99, Leaving: true})
-		_ = p.stop()
+		_ = p.owner.stop()
 	})
 }
 
@@ -265,7 +244,7 @@
 		p.send(dispatcher.Event{Kind: dispatcher.Reachable, Assignment: assigned[0].ID}, dispatcher.Event{Kind: dispatcher.Reachable, Assignment: assigned[1].ID})
 		must.False(t, reachable())
 		p.owner.TakeResults(dispatcher.Results{Member: "m1", Session: "s1", Number: 99, Leaving: true})
-		_ = p.stop()
+		_ = p.owner.stop()
 	})
 }
 
@@ -286,8 +265,8 @@
 		}
 		must.Less(t, dispatcher.GrantLength, p.poll("s1").Grant)
 		var expired *rowstore.LeaseExpiredError
-		must.True(t, errors.As(<-p.done, &expired))
-		p.cancel()
+		must.True(t, errors.As(<-p.owner.done, &expired))
+		p.owner.cancel()
 	})
 }
 
@@ -299,14 +278,14 @@
 			p := newDividedPool(t)
 			p.join("s1")
 			p.poll("s1")
-			p.cancel()
+			p.owner.cancel()
 			time.Sleep(100 * time.Millisecond)
 			must.True(t, p.poll("s1").Ended)
 			if leaves {
 				p.owner.TakeResults(dispatcher.Results{Member: "m1", Session: "s1", Number: p.results + 1, Leaving: true})
 			}
 			var unconfirmed *owner.UnconfirmedStopError
-			must.Eq(t, !leaves, errors.As(<-p.done, &unconfirmed))
+			must.Eq(t, !leaves, errors.As(<-p.owner.done, &unconfirmed))
 		})
 	}
 }
--- a/owner/evacuate_test.go
+++ b/owner/evacuate_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"log/slog"
 	"strings"
 	"sync"
@@ -24,7 +23,7 @@
 
 // zonedPool is an owner with one worker in zone z1, whose starts a test can hold back.
 type zonedPool struct {
-	owner   *owner.Owner
+	owner   *runningOwner
 	workers *fakeWorkers
 
 	mu        sync.Mutex
@@ -59,19 +58,12 @@
 // newZonedPool runs an owner until the test ends.
 func newZonedPool(t *testing.T) *zonedPool {
 	p := &zonedPool{workers: &fakeWorkers{}}
-	store := &fakeStore{rows: map[rowstore.Ref]rowstore.Row{}}
-	started := time.Now()
-	now := func() clock.Millis { return clock.MillisOf(time.Since(started)) }
-	p.clock = clock.Clock{NowFunc: now, BootFunc: func() clock.Millis { return now() + clock.Millis(p.suspended.Load()) }}
-	testClock := p.clock
-	lease := &rowstore.OwnerLease{Table: store.table(), Clock: testClock, Partition: "p", Self: "m0", Address: "m0:1"}
-	must.NoError(t, lease.Observe(rowstore.Row{}))
-	claimed, err := lease.Claim(t.Context())
-	must.NoError(t, err)
-	must.True(t, claimed)
-	p.owner = owner.New(owner.Config{
-		Pool: "p", Lease: lease, Former: rowstore.HolderReleased, Table: store.table(), Clock: testClock, Calls: p.workers.calls(),
-		Log: slog.New(slog.NewTextHandler(&p.log, nil)), Metrics: owner.NewMetrics(), FinalStateRetention: 1000,
+	store := newStore()
+	base := newClock()
+	p.clock = clock.Clock{NowFunc: base.NowFunc, BootFunc: func() clock.Millis { return base.Now() + clock.Millis(p.suspended.Load()) }}
+	p.owner = startOwner(t, owner.Config{
+		Lease: claimLease(t, store.table(), p.clock, "m0"), Former: rowstore.HolderReleased, Table: store.table(), Clock: p.clock,
+		Calls: p.workers.calls(), Log: slog.New(slog.NewTextHandler(&p.log, nil)),
 		Policy: func(fleet.QueueID) (schedule.Policy, bool) { return schedule.Policy{Attempts: 3}, true },
 		MayStart: func(zone fleet.ZoneID) bool {
 			p.mu.Lock()
@@ -89,14 +81,7 @@
 			return p.evacuated
 		},
 	})
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan error, 1)
-	go func() { done <- p.owner.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
-	time.Sleep(100 * time.Millisecond)
+	t.Cleanup(func() { _ = p.owner.stop() })
 	p.owner.SetWorkers(zonedWorkers("z1"))
 	time.Sleep(time.Second)
 	p.owner.SetWorkers(zonedWorkers("z1"))
@@ -230,6 +215,6 @@
 		must.Len(t, 1, again.Orders, must.Sprint("a held start is placed again"))
 		must.NotEq(t, order.Assignment, again.Orders[0].Assignment, must.Sprint("on another worker"))
 		p.owner.TakeResults(dispatcher.Results{Member: "m1", Session: "s1", Number: 99, Leaving: true})
-		_ = p.stop()
+		_ = p.owner.stop()
 	})
 }
--- a/owner/recovery_test.go
+++ b/owner/recovery_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,7 +10,6 @@
 
 	"github.com/shoenig/test/must"
 
-	"citronknot/clock"
 	"citronknot/fleet"
 	"citronknot/job"
 	"citronknot/owner"
@@ -124,31 +122,15 @@
 		starts     int
 	}{{"store unreachable", true, 0}, {"store reachable", false, 1}} {
 		synctest.Test(t, func(t *testing.T) {
-			store := &fakeStore{rows: map[rowstore.Ref]rowstore.Row{}}
+			store := newStore()
 			submitted := &job.Job{ID: "00000000000000aa", Queue: "q", Steps: []job.Step{{Count: 1, Needs: job.Resources{CPU: 1}}}}
 			encoded, err := submitted.Encode()
 			must.NoError(t, err)
 			store.put("jobs", string(submitted.ID), encoded)
 			store.put("workers", "known", []byte(`{"w0":{"born_ms":1,"address":"a"}}`))
-			started := time.Now()
-			testClock := clock.Clock{NowFunc: func() clock.Millis { return clock.MillisOf(time.Since(started)) }}
-			lease := &rowstore.OwnerLease{Table: store.table(), Clock: testClock, Partition: "p", Self: "m", Address: "m:1"}
-			must.NoError(t, lease.Observe(rowstore.Row{}))
-			claimed, err := lease.Claim(t.Context())
-			must.NoError(t, err)
-			must.True(t, claimed)
 			workers := &fakeWorkers{}
-			poolOwner := owner.New(owner.Config{
-				Pool: "p", Lease: lease, Table: store.table(), Clock: testClock, Calls: workers.calls(), Log: slog.New(slog.DiscardHandler), Metrics: owner.NewMetrics(),
-				FinalStateRetention: 1000, Policy: func(fleet.QueueID) (schedule.Policy, bool) { return schedule.Policy{Attempts: 1}, true },
-			})
-			ctx, cancel := context.WithCancel(t.Context())
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				_ = poolOwner.Run(ctx) // ends with the owner lease or the test
-			}()
-			time.Sleep(time.Second)
+			poolOwner := startOwner(t, owner.Config{Table: store.table(), Calls: workers.calls()})
+			time.Sleep(900 * time.Millisecond)
 			poolOwner.SetWorkers([]owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: 1, Capacity: job.Resources{CPU: 10, Memory: 10}}, Address: "b"}})
 			time.Sleep(4 * time.Second)
 			store.mu.Lock()
@@ -156,8 +138,7 @@
 			store.mu.Unlock()
 			time.Sleep(7 * time.Second) // 12 s after the takeover, 7 s after the last commit
 			starts := workers.started()
-			cancel()
-			<-done
+			_ = poolOwner.stop() // it may have lost its lease
 			must.Eq(t, c.starts, starts, must.Sprint(c.name))
 		})
 	}
--- a/owner/refusals_test.go
+++ b/owner/refusals_test.go
@@ -26,26 +26,15 @@
 // row or a state of a job that was refused, and against a log line for each of thousands of refusals.
 func TestRefusedJobsLeaveNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &fakeStore{rows: map[rowstore.Ref]rowstore.Row{}}
-		started := time.Now()
-		testClock := clock.Clock{NowFunc: func() clock.Millis { return clock.MillisOf(time.Since(started)) }}
-		lease := &rowstore.OwnerLease{Table: store.table(), Clock: testClock, Partition: "p", Self: "m", Address: "m:1"}
-		must.NoError(t, lease.Observe(rowstore.Row{}))
-		claimed, err := lease.Claim(t.Context())
-		must.NoError(t, err)
-		must.True(t, claimed)
+		store := newStore()
 		var log bytes.Buffer
 		metrics := owner.NewMetrics()
-		poolOwner := owner.New(owner.Config{
-			Pool: "p", Lease: lease, Former: rowstore.HolderReleased, Table: store.table(), Clock: testClock, Calls: (&fakeWorkers{}).calls(),
-			Log: slog.New(slog.NewTextHandler(&log, nil)), Metrics: metrics, FinalStateRetention: 60_000,
+		poolOwner := startOwner(t, owner.Config{
+			Table: store.table(), Former: rowstore.HolderReleased, Log: slog.New(slog.NewTextHandler(&log, nil)), Metrics: metrics, FinalStateRetention: 60_000,
 			Policy:    func(fleet.QueueID) (schedule.Policy, bool) { return schedule.Policy{Attempts: 1, Stretch: 1.5}, true },
 			MayRefuse: func(team fleet.TeamID, _ clock.Millis) bool { return team == "alpha" },
 		})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error, 1)
-		go func() { done <- poolOwner.Run(ctx) }()
-		time.Sleep(100 * time.Millisecond)
+		ctx := t.Context()
 		poolOwner.SetWorkers([]owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: 1, Capacity: job.Resources{CPU: 1000}}, Address: "a"}})
 		time.Sleep(3 * time.Second)
 		submit := func(n int, team fleet.TeamID) error {
@@ -86,7 +75,6 @@
 		for ref := range store.rows {
 			must.StrNotContains(t, ref.Key, "00000000000003e9")
 		}
-		cancel()
-		must.True(t, errors.Is(<-done, context.Canceled))
+		must.True(t, errors.Is(poolOwner.stop(), context.Canceled))
 	})
 }
--- a/owner/report_test.go
+++ b/owner/report_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"log/slog"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
-	"citronknot/clock"
 	"citronknot/fleet"
 	"citronknot/job"
 	"citronknot/owner"
@@ -21,23 +20,8 @@
 // can't reach the store and has not noticed that it was replaced, reports the worker as drained.
 func TestOwnerThatMayBeReplacedReportsNoWorkerAsDrained(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &fakeStore{rows: map[rowstore.Ref]rowstore.Row{}}
-		started := time.Now()
-		testClock := clock.Clock{NowFunc: func() clock.Millis { return clock.MillisOf(time.Since(started)) }}
-		lease := &rowstore.OwnerLease{Table: store.table(), Clock: testClock, Partition: "p", Self: "m", Address: "m:1"}
-		must.NoError(t, lease.Observe(rowstore.Row{}))
-		claimed, err := lease.Claim(t.Context())
-		must.NoError(t, err)
-		must.True(t, claimed)
-		poolOwner := owner.New(owner.Config{
-			Pool: "p", Lease: lease, Former: rowstore.HolderReleased, Table: store.table(), Clock: testClock, Calls: (&fakeWorkers{}).calls(),
-			Log: slog.New(slog.DiscardHandler), Metrics: owner.NewMetrics(), FinalStateRetention: 1000,
-			Policy: func(fleet.QueueID) (schedule.Policy, bool) { return schedule.Policy{}, true },
-		})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error, 1)
-		go func() { done <- poolOwner.Run(ctx) }()
-		time.Sleep(100 * time.Millisecond)
+		store := newStore()
+		poolOwner := startOwner(t, owner.Config{Table: store.table(), Former: rowstore.HolderReleased})
 		poolOwner.SetWorkers([]owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: 1, Capacity: job.Resources{CPU: 10}}, Address: "a"}})
 		time.Sleep(time.Second)
 		poolOwner.Direct(owner.Direction{Cordon: []fleet.InstanceID{"w1"}})
@@ -52,10 +36,9 @@
 		store.unreachable = true
 		store.mu.Unlock()
 		time.Sleep(3 * time.Second)
-		must.True(t, lease.Authorized())
+		must.True(t, poolOwner.lease.Authorized())
 		must.False(t, drained())
-		cancel()
-		<-done
+		must.True(t, errors.Is(poolOwner.stop(), context.Canceled))
 	})
 }
 
--- a/owner/unused_workers_test.go
+++ b/owner/unused_workers_test.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"log/slog"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
-	"citronknot/clock"
-	"citronknot/fleet"
 	"citronknot/job"
 	"citronknot/owner"
 	"citronknot/rowstore"
@@ -23,28 +21,10 @@
 	encoded, err := submitted.Encode()
 	must.NoError(t, err)
 	store.put("jobs", string(submitted.ID), encoded)
-	started := time.Now()
-	testClock := clock.Clock{NowFunc: func() clock.Millis { return clock.MillisOf(time.Since(started)) }}
-	lease := &rowstore.OwnerLease{Table: store.table(), Clock: testClock, Partition: "p", Self: "m", Address: "m:1"}
-	must.NoError(t, lease.Observe(rowstore.Row{}))
-	claimed, err := lease.Claim(t.Context())
-	must.NoError(t, err)
-	must.True(t, claimed)
-	poolOwner := owner.New(owner.Config{
-		Pool: "p", Lease: lease, Table: store.table(), Clock: testClock, Calls: workers.calls(), Log: slog.New(slog.DiscardHandler), Metrics: owner.NewMetrics(),
-		FinalStateRetention: 1000, Policy: func(fleet.QueueID) (schedule.Policy, bool) { return schedule.Policy{Attempts: 1}, true },
-	})
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = poolOwner.Run(ctx) // ends with the test
-	}()
-	time.Sleep(100 * time.Millisecond)
+	poolOwner := startOwner(t, owner.Config{Table: store.table(), Calls: workers.calls()})
 	poolOwner.SetWorkers([]owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: 1, Capacity: job.Resources{CPU: 10, Memory: 10}}, Address: "b"}})
 	time.Sleep(d)
-	cancel()
-	<-done
+	must.True(t, errors.Is(poolOwner.stop(), context.Canceled))
 }
 
 // Guards against recovered tasks that wait for a worker which never took a start. The platform lists a
@@ -59,7 +39,7 @@
 		{"w0 may have runs", `{"w0":{"born_ms":1,"address":"a"}}`, 0},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			store := &fakeStore{rows: map[rowstore.Ref]rowstore.Row{}}
+			store := newStore()
 			store.put("workers", "known", []byte(c.known))
 			workers := &fakeWorkers{}
 			runOwner(t, store, workers, 2*time.Second)
--- a/owner/workers_test.go
+++ b/owner/workers_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"log/slog"
+	"errors"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -12,7 +12,6 @@
 	"github.com/shoenig/test/must"
 
 	"citronknot/clock"
-	"citronknot/fleet"
 	"citronknot/job"
 	"citronknot/owner"
 	"citronknot/rowstore"
@@ -25,14 +24,6 @@
 // worker that takes no tasks.
 func TestEndedIncarnationIsNotPolledAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &fakeStore{rows: map[rowstore.Ref]rowstore.Row{}}
-		started := time.Now()
-		testClock := clock.Clock{NowFunc: func() clock.Millis { return clock.MillisOf(time.Since(started)) }}
-		lease := &rowstore.OwnerLease{Table: store.table(), Clock: testClock, Partition: "p", Self: "m", Address: "m:1"}
-		must.NoError(t, lease.Observe(rowstore.Row{}))
-		claimed, err := lease.Claim(t.Context())
-		must.NoError(t, err)
-		must.True(t, claimed)
 		var polls atomic.Int64
 		calls := (&fakeWorkers{}).calls()
 		calls.Poll = func(context.Context, worker.Endpoint, worker.PollRequest) (worker.PollResponse, error) {
@@ -40,17 +31,10 @@
 			time.Sleep(time.Millisecond)
 			return worker.PollResponse{Reply: worker.Reply{Result: worker.OtherIncarnation, Clock: 1}}, nil
 		}
-		poolOwner := owner.New(owner.Config{
-			Pool: "p", Lease: lease, Former: rowstore.HolderReleased, Table: store.table(), Clock: testClock, Calls: calls, Log: slog.New(slog.DiscardHandler),
-			Metrics: owner.NewMetrics(), FinalStateRetention: 1000, Policy: func(fleet.QueueID) (schedule.Policy, bool) { return schedule.Policy{}, true },
-		})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error, 1)
-		go func() { done <- poolOwner.Run(ctx) }()
+		poolOwner := startOwner(t, owner.Config{Table: newStore().table(), Former: rowstore.HolderReleased, Calls: calls})
 		list := func(incarnation clock.Millis) []owner.ListedWorker {
 			return []owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: incarnation, Capacity: job.Resources{CPU: 10}}, Address: "a"}}
 		}
-		time.Sleep(100 * time.Millisecond)
 		for range 20 {
 			poolOwner.SetWorkers(list(1))
 			time.Sleep(100 * time.Millisecond)
@@ -59,8 +43,7 @@
 		poolOwner.SetWorkers(list(2))
 		time.Sleep(500 * time.Millisecond)
 		must.Eq(t, 2, polls.Load(), must.Sprint("a later incarnation under the same id is polled"))
-		cancel()
-		<-done
+		must.True(t, errors.Is(poolOwner.stop(), context.Canceled))
 	})
 }
 
