Count the age of a run that was lost in a crash from the answer to its start

Cause: three crashes at the same age beside other starts and one alone make the verdict. The age was counted from the order. A slow owner sent the start 275 to 330 ms after it had ordered it, and the worker crashed 10 ms after the start, so that this crash did not count with the others. With the first crash, which the kill of the owner makes forgotten (docs/design/worker-crashes.md), the verdict came at the sixth. Change: an answered run is as old as the answer. The worker answers a start as it carries it out. Result: TestCrashAfterSlowStartIsAtStart, seen to fail without the change.

--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -56,8 +56,8 @@
 	return c
 }
 
-// ageAtCrash returns how long a run had gone on when the worker crashed, or a lower bound, or -1 if
-// that is unknown.
+// ageAtCrash returns how long a run had gone on when the worker crashed, or a lower bound, or -1 if that is
+// unknown. The worker answers a start as it carries it out; a slow owner may send it long after it was ordered.
 func (w *worker) ageAtCrash(t *task) clock.Millis {
 	started := t.orderedAt
 	if started == 0 {
@@ -68,7 +68,7 @@
 	case t.orderedAt != 0 && w.unreachableSince != 0 && t.startUnanswered():
 		return min(responded, max(0, w.unreachableSince-started)) // it may take long to see that a worker is silent
 	case t.orderedAt != 0 && w.unreachableSince != 0:
-		return max(0, w.unreachableSince-started)
+		return max(0, w.unreachableSince-max(started, t.answeredAt))
 	}
 	if known := max(responded, w.unreachableSince-started); known > startupTime {
 		return known
--- a/schedule/crash_test.go
+++ b/schedule/crash_test.go
@@ -140,6 +140,24 @@
 	s.checkDeadlyJobs()
 }
 
+// Guards against a task that crashes more workers than it may, because a crash right after its start does not
+// count with the others: the owner was slow, and sent the start long after it had ordered it.
+func TestCrashAfterSlowStartIsAtStart(t *testing.T) {
+	h := newHarness(t, 1)
+	h.pool.Add(newJob(1, newStep(1)), testPolicy, nil, 0, h.now)
+	starts := h.planAfter(1000)
+	must.Len(t, 1, starts)
+	h.now += 300
+	h.pool.Answered(starts[0], schedule.Accepted, h.now)
+	h.now += 10
+	h.pool.SetReachable("w0", false, h.now)
+	h.now += 3000
+	h.pool.RemoveWorker("w0", schedule.LossCrash, "it has restarted", h.now)
+	changes := h.pool.Changes(h.now, 1)
+	must.Len(t, 1, changes)
+	must.Eq(t, 10, changes[0].Progress.Crashes[job.Position{}][0].Age)
+}
+
 // Guards against a job that is shown as failed although none of its runs crashed a worker alone: the
 // third crash comes long after its start, and takes a lasting task with it.
 func TestLateCrashBesideOthersFailsNoJob(t *testing.T) {
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -235,7 +235,7 @@
 // have ordered its stop just before.
 func (p *Pool) adopt(t *task, w *worker, r *RunReport, now clock.Millis) {
 	t.run = r.Run
-	t.stopUntil, t.adoptedAt, t.orderedAt = 0, now, 0
+	t.stopUntil, t.adoptedAt, t.orderedAt, t.answeredAt = 0, now, 0, 0
 	if p.StopTime > 0 {
 		t.stopUntil = now + p.StopTime
 	}
@@ -467,6 +467,7 @@
 func (p *Pool) startOutcome(t *task, w *worker, outcome Outcome, now clock.Millis) {
 	switch outcome {
 	case Accepted:
+		t.answeredAt = now
 		p.confirmStart(t, now)
 		return
 	case UnknownOutcome:
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -125,7 +125,7 @@
 // start assigns a task to a worker and orders the start of a run.
 func (p *Pool) start(t *task, w *worker, run int, now clock.Millis) {
 	t.run = run
-	t.percent, t.stopUntil, t.orderedAt = 0, 0, now
+	t.percent, t.stopUntil, t.orderedAt, t.answeredAt = 0, 0, now, 0
 	t.resumed, t.far = t.checkpoint != "", t.wouldBeFar(w)
 	if t.step.rack != "" && t.step.spec.DataRack == "" { // the first tasks decide where the others run
 		t.step.rack = w.Rack
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -42,6 +42,7 @@
 	orderedPaceAt clock.Millis
 	stateSince    clock.Millis // when state was entered
 	orderedAt     clock.Millis // when the newest run was ordered; 0 if an earlier owner ordered it
+	answeredAt    clock.Millis // when the worker's answer to the newest start arrived; 0 if none has
 	stopReason    StopReason   // of the newest stop; kept when the task starts again
 	listedAt      clock.Millis // when the newest list was made that contains the newest run; see worker.listedAt
 	// unansweredAt is set in state starting once the answer to the start is known to be missing.
