Name the handling of starts without an answer after what it does

Cause: startUnknown reads as if it started something. Change: markUnanswered; a comment on the wire field keep_cordons. No decision changes.

--- a/hosted/report_wire.go
+++ b/hosted/report_wire.go
@@ -60,9 +60,9 @@
 
 // wireDirection is the fleet leader's response to a wireReport.
 type wireDirection struct {
-	Cordon        []string                 `json:"cordon,omitempty"` // workers that take no new tasks
-	KeepCordons   bool                     `json:"keep_cordons,omitempty"`
-	Ended         []string                 `json:"ended,omitempty"` // workers that ended through orders to machines
+	Cordon        []string                 `json:"cordon,omitempty"`       // workers that take no new tasks
+	KeepCordons   bool                     `json:"keep_cordons,omitempty"` // see owner.Direction
+	Ended         []string                 `json:"ended,omitempty"`        // workers that ended through orders to machines
 	Allowances    map[string]wireResources `json:"allowances,omitempty"`
 	HasAllowances bool                     `json:"ruled,omitempty"` // Allowances applies, even if it is empty
 	Arriving      []wireArrival            `json:"arriving,omitempty"`
--- a/schedule/availability.go
+++ b/schedule/availability.go
@@ -99,9 +99,9 @@
 	return since != 0 && listed > since && listed > t.listedAt && now-listed <= absenceEvidenceAge
 }
 
-// startUnknown records that a start may or may not have been carried out. A long-running one stays where
+// markUnanswered records that a start may or may not have been carried out. A long-running one stays where
 // it is until the worker lists it or is known not to run it.
-func (p *Pool) startUnknown(t *task, now clock.Millis) {
+func (p *Pool) markUnanswered(t *task, now clock.Millis) {
 	if !t.step.spec.LongRunning {
 		p.stop(t, StopUnanswered, now)
 		return
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -471,7 +471,7 @@
 		p.confirmStart(t, now)
 		return
 	case UnknownOutcome:
-		p.startUnknown(t, now)
+		p.markUnanswered(t, now)
 		return
 	case NoCapacity:
 		w.fullUntil = now + fullDuration
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -50,7 +50,7 @@
 func (p *Pool) handleOverdueOrders(now clock.Millis) {
 	for t := range p.startingTasks {
 		if now-t.stateSince > p.StartWait {
-			p.startUnknown(t, now)
+			p.markUnanswered(t, now)
 		}
 	}
 	for t := range p.unansweredStarts {
--- a/schedule/starter.go
+++ b/schedule/starter.go
@@ -36,7 +36,7 @@
 	for t := range w.tasks {
 		switch {
 		case t.state == starting:
-			p.startUnknown(t, now)
+			p.markUnanswered(t, now)
 		case t.state == stopping && !t.stopAccepted:
 			p.repeatStop(t, now)
 		}
