Count the age of a run without an answer from the last list without it

Change: a run without an answer is not older than the newest list of its worker that does not contain it. Result: TestCrashAfterSlowStartWithoutAnswerIsAtStart, seen to fail without the change (780 ms).

--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -60,8 +60,11 @@
 // unknown. The worker answers a start as it carries it out; a slow owner may send it long after it was ordered.
 func (w *worker) ageAtCrash(t *task) clock.Millis {
 	started := t.orderedAt
-	if started == 0 {
+	switch {
+	case started == 0:
 		started = t.adoptedAt
+	case t.startUnanswered() && t.listedAt < w.listedAt:
+		started = max(started, w.listedAt) // the newest list did not contain the run yet
 	}
 	responded := max(0, w.respondedAt-started)
 	switch {
--- a/schedule/crash_test.go
+++ b/schedule/crash_test.go
@@ -158,6 +158,26 @@
 	must.Eq(t, 10, changes[0].Progress.Crashes[job.Position{}][0].Age)
 }
 
+// Guards against the same with a start that got no answer: the worker listed its runs after the start was ordered,
+// and did not run the task yet.
+func TestCrashAfterSlowStartWithoutAnswerIsAtStart(t *testing.T) {
+	h := newHarness(t, 1)
+	h.pool.Add(newJob(1, newStep(1)), testPolicy, nil, 0, h.now)
+	starts := h.planAfter(1000)
+	must.Len(t, 1, starts)
+	h.now += 780
+	h.pool.Observe("w0", schedule.Report{RequestedAt: h.now}, h.now)
+	h.now += 100
+	h.pool.Answered(starts[0], schedule.UnknownOutcome, h.now)
+	h.now += 300
+	h.pool.SetReachable("w0", false, h.now)
+	h.now += 3000
+	h.pool.RemoveWorker("w0", schedule.LossCrash, "it has restarted", h.now)
+	changes := h.pool.Changes(h.now, 1)
+	must.Len(t, 1, changes)
+	must.Eq(t, 0, changes[0].Progress.Crashes[job.Position{}][0].Age)
+}
+
 // Guards against a job that is shown as failed although none of its runs crashed a worker alone: the
 // third crash comes long after its start, and takes a lasting task with it.
 func TestLateCrashBesideOthersFailsNoJob(t *testing.T) {
