--- a/schedule/crash_test.go
+++ b/schedule/crash_test.go
@@ -140,42 +140,42 @@
 	s.checkDeadlyJobs()
 }
 
-// Guards against a task that crashes more workers than it may, because a crash right after its start does not
-// count with the others: the owner was slow, and sent the start long after it had ordered it.
-func TestCrashAfterSlowStartIsAtStart(t *testing.T) {
+// recordedAge returns the age that is recorded for a run whose worker stops responding after what meanwhile does
+// with the order of its start.
+func recordedAge(t *testing.T, meanwhile func(*harness, schedule.Order)) clock.Millis {
 	h := newHarness(t, 1)
 	h.pool.Add(newJob(1, newStep(1)), testPolicy, nil, 0, h.now)
 	starts := h.planAfter(1000)
 	must.Len(t, 1, starts)
-	h.now += 300
-	h.pool.Answered(starts[0], schedule.Accepted, h.now)
-	h.now += 10
+	meanwhile(h, starts[0])
 	h.pool.SetReachable("w0", false, h.now)
 	h.now += 3000
 	h.pool.RemoveWorker("w0", schedule.LossCrash, "it has restarted", h.now)
 	changes := h.pool.Changes(h.now, 1)
 	must.Len(t, 1, changes)
-	must.Eq(t, 10, changes[0].Progress.Crashes[job.Position{}][0].Age)
+	return changes[0].Progress.Crashes[job.Position{}][0].Age
+}
+
+// Guards against a task that crashes more workers than it may, because a crash right after its start does not
+// count with the others: the owner was slow, and sent the start long after it had ordered it.
+func TestCrashAfterSlowStartIsAtStart(t *testing.T) {
+	must.Eq(t, 10, recordedAge(t, func(h *harness, start schedule.Order) {
+		h.now += 300
+		h.pool.Answered(start, schedule.Accepted, h.now)
+		h.now += 10
+	}))
 }
 
 // Guards against the same with a start that got no answer: the worker listed its runs after the start was ordered,
 // and did not run the task yet.
 func TestCrashAfterSlowStartWithoutAnswerIsAtStart(t *testing.T) {
-	h := newHarness(t, 1)
-	h.pool.Add(newJob(1, newStep(1)), testPolicy, nil, 0, h.now)
-	starts := h.planAfter(1000)
-	must.Len(t, 1, starts)
-	h.now += 780
-	h.pool.Observe("w0", schedule.Report{RequestedAt: h.now}, h.now)
-	h.now += 100
-	h.pool.Answered(starts[0], schedule.UnknownOutcome, h.now)
-	h.now += 300
-	h.pool.SetReachable("w0", false, h.now)
-	h.now += 3000
-	h.pool.RemoveWorker("w0", schedule.LossCrash, "it has restarted", h.now)
-	changes := h.pool.Changes(h.now, 1)
-	must.Len(t, 1, changes)
-	must.Eq(t, 0, changes[0].Progress.Crashes[job.Position{}][0].Age)
+	must.Eq(t, 0, recordedAge(t, func(h *harness, start schedule.Order) {
+		h.now += 780
+		h.pool.Observe("w0", schedule.Report{RequestedAt: h.now}, h.now)
+		h.now += 100
+		h.pool.Answered(start, schedule.UnknownOutcome, h.now)
+		h.now += 300
+	}))
 }
 
 // Guards against a job that is shown as failed although none of its runs crashed a worker alone: the
