Say what the fields of the simulation of services hold

Cause: read as a newcomer, some fields and functions of the new test had names that need explaining. Change: names and comments of a test file. Result: TestServicesStayAvailableUnderFailures and its neighbours pass twice.

--- a/schedule/availability_simulation_test.go
+++ b/schedule/availability_simulation_test.go
@@ -23,24 +23,25 @@
 	simulatedPoll   clock.Millis = 500
 )
 
-// serviceSimulation drives a pool with services on workers that leave orders unanswered and carry them out
-// late, that fall silent, and that are cordoned one after another. Its owner is slow or frozen at times, and is replaced. It checks at
-// each stop that is carried out at once whether more tasks of the step are away than the step allows.
+// serviceSimulation drives a pool with services, which are steps of long-running tasks, on workers that leave
+// orders unanswered and carry them out late, that fall silent, and that are cordoned. Its owner is slow or frozen at
+// times, and is replaced. It checks at each stop that is carried out at once whether more tasks of the step are away
+// than the step allows.
 type serviceSimulation struct {
 	*harness
 	rand     *rand.Rand
 	workers  map[fleet.InstanceID]*serviceWorker
-	order    []*serviceWorker
+	sorted   []*serviceWorker // by id
 	tasks    map[job.Ref]*serviceTask
 	jobs     []*job.Job
-	limits   []int // by job
-	fence    int   // of the owner
-	tookOver clock.Millis
+	limits   []int        // by job
+	fence    int          // of the owner
+	tookOver clock.Millis // when the owner took the pool over
 	due      []simulatedAction
 	lateness float64      // part of the orders that are carried out late
 	slow     bool         // the owner is slow
 	frozen   clock.Millis // until when the owner stands still
-	breaches []string
+	breaches []string     // descriptions of stops that broke the rule, and of tasks that ran twice
 }
 
 // simulatedAction is something that happens at a time.
@@ -54,11 +55,11 @@
 	id          fleet.InstanceID
 	runs        map[job.Ref]*serviceRun
 	highest     map[job.Ref]int // runs up to this number are rejected
-	silentUntil clock.Millis
-	fence       int // highest that it has seen
-	listed      int // newest owner that has received a list of its runs
-	heardAt     clock.Millis
-	leaseEnd    clock.Millis // of all runs there
+	silentUntil clock.Millis    // responds to nothing before
+	fence       int             // highest that it has seen
+	listed      int             // newest owner that has received a list of its runs
+	heardAt     clock.Millis    // when it last responded, or could have
+	leaseEnd    clock.Millis    // of all runs there
 	nextPoll    clock.Millis
 	polling     bool // a response is on its way to the owner
 	reachable   bool
@@ -79,6 +80,7 @@
 	lastAtWork   clock.Millis
 }
 
+// newServiceSimulation returns a simulation with six services on ten workers. Nothing has started yet.
 func newServiceSimulation(t *testing.T, seed uint64) *serviceSimulation {
 	s := &serviceSimulation{
 		harness: newHarness(t, 0), rand: rand.New(rand.NewPCG(seed, 31)), workers: map[fleet.InstanceID]*serviceWorker{}, tasks: map[job.Ref]*serviceTask{},
@@ -86,7 +88,7 @@
 	s.now = 10_000
 	for i := range 10 {
 		w := &serviceWorker{id: workerID(i), runs: map[job.Ref]*serviceRun{}, highest: map[job.Ref]int{}, reachable: true}
-		s.workers[w.id], s.order = w, append(s.order, w)
+		s.workers[w.id], s.sorted = w, append(s.sorted, w)
 	}
 	for n := range 6 {
 		step := newStep(3 + s.rand.IntN(4))
@@ -112,7 +114,7 @@
 	for _, j := range s.jobs {
 		s.pool.Add(j, testPolicy, &job.Progress{}, 0, s.now)
 	}
-	for _, w := range s.order {
+	for _, w := range s.sorted {
 		s.pool.SetWorker(schedule.Worker{ID: w.id, Incarnation: 1, Rack: "r1-1", Capacity: job.Resources{CPU: 16000, Memory: 32768}}, s.now)
 		w.reachable, w.polling, w.heardAt = false, false, s.now
 	}
@@ -120,7 +122,7 @@
 
 // recover finishes the recovery of a new owner once all workers have responded, or their leases have expired.
 func (s *serviceSimulation) recover() {
-	for _, w := range s.order {
+	for _, w := range s.sorted {
 		if w.listed < s.fence && s.now <= max(w.leaseEnd, s.tookOver+simulatedLease) {
 			return
 		}
@@ -133,7 +135,7 @@
 	for end := s.now + d; s.now < end; {
 		s.now += simulatedStep
 		s.carryOutDue()
-		for _, w := range s.order {
+		for _, w := range s.sorted {
 			s.advance(w)
 		}
 		if s.now < s.frozen || (s.slow && s.rand.IntN(30) != 0) {
@@ -152,6 +154,7 @@
 	s.due = append(s.due, simulatedAction{at: s.now + d, do: do})
 }
 
+// carryOutDue does what is due.
 func (s *serviceSimulation) carryOutDue() {
 	pending := s.due
 	s.due = nil
@@ -222,7 +225,7 @@
 	if o.Run <= w.highest[o.Task] || r != nil {
 		return schedule.OldRun
 	}
-	for _, other := range s.order {
+	for _, other := range s.sorted {
 		if x := other.runs[o.Task]; x != nil {
 			s.breaches = append(s.breaches, fmt.Sprintf("%d: %s runs twice, on %s and %s", s.now, o.Task, other.id, w.id))
 		}
@@ -331,12 +334,12 @@
 	case 1:
 		s.slow = !s.slow
 	case 2:
-		w := s.order[s.rand.IntN(len(s.order))]
+		w := s.sorted[s.rand.IntN(len(s.sorted))]
 		w.silentUntil = s.now + 500 + clock.Millis(s.rand.IntN(7000))
 	default:
 		var ids []fleet.InstanceID
 		for range 1 + s.rand.IntN(3) {
-			ids = append(ids, s.order[s.rand.IntN(len(s.order))].id)
+			ids = append(ids, s.sorted[s.rand.IntN(len(s.sorted))].id)
 		}
 		s.pool.Cordon(ids, s.now)
 	}
