Log how a pool's capacity is used, failed commits and slow planning

Change: owners log their pool's activity twice a second while something happens; each failed attempt of a commit is logged with its error; a transaction is checked before it is sent, and the error names the row, its size and what is accepted; the fleet leader counts the time of its passes and logs slow ones. No decision changes.

--- a/hosted/fleet.go
+++ b/hosted/fleet.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -225,7 +226,9 @@
 		return nil
 	}
 	l.mu.Lock()
+	started := time.Now()
 	orders := l.planner.Plan(l.process.Clock.Now())
+	l.recordPlanTime(time.Since(started), len(orders))
 	for _, o := range orders {
 		e := l.planner.Evidence(o.Machine, l.process.Clock.Now())
 		l.process.Log.Info("hosted: orders a machine", "order", o.String(), "fence", l.lease.Fence(), "worker", e.Worker,
@@ -248,6 +251,17 @@
 	return nil
 }
 
+// slowPlan is the time of a planning pass from which it is logged: reports of pools wait for it.
+const slowPlan = 50 * time.Millisecond
+
+// recordPlanTime records the time of one pass of the planner.
+func (l *fleetLeader) recordPlanTime(took time.Duration, orders int) {
+	l.process.metrics.fleetPlanTime.Observe(took.Seconds())
+	if took >= slowPlan {
+		l.process.Log.Warn("hosted: planning of machines was slow", "fence", l.lease.Fence(), "took_ms", took.Milliseconds(), "orders", orders)
+	}
+}
+
 // configure passes the pools, the evacuated zones, the team limits and the waves to the planner and the
 // ledger.
 func (l *fleetLeader) configure(now clock.Millis, doneMachines map[int][]machine.ID) {
--- a/hosted/metrics.go
+++ b/hosted/metrics.go
@@ -17,6 +17,7 @@
 	relayedCalls    prometheus.Counter
 	evacuatedZones  prometheus.Gauge
 	heldBackStarts  *prometheus.CounterVec
+	fleetPlanTime   prometheus.Histogram // seconds of one pass of the fleet leader's planner
 }
 
 // newMetrics returns metrics that start at 0. droppedLogLines returns the number of dropped log
@@ -45,6 +46,10 @@
 		machineOrders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "citronknot_machine_orders_total", Help: "Orders to machines by order and answer.",
 		}, []string{"order", "answer"}),
+		fleetPlanTime: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "citronknot_fleet_plan_seconds", Help: "Time in which the fleet leader decided on moves and maintenance once.",
+			Buckets: prometheus.ExponentialBuckets(0.0001, 4, 8),
+		}),
 		droppedLogLines: prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "citronknot_log_lines_dropped_total", Help: "Log lines that were dropped because writing was too slow.",
 		}, func() float64 { return float64(droppedLogLines()) }),
@@ -53,6 +58,6 @@
 
 func (m *metrics) collectors() []prometheus.Collector {
 	return append(m.owner.Collectors(),
-		m.callerCalls, m.callSeconds, m.droppedLogLines, m.machineOrders, m.relayedCalls, m.evacuatedZones, m.heldBackStarts,
+		m.callerCalls, m.callSeconds, m.droppedLogLines, m.machineOrders, m.relayedCalls, m.evacuatedZones, m.heldBackStarts, m.fleetPlanTime,
 		collectors.NewGoCollector())
 }
--- a/hosted/process.go
+++ b/hosted/process.go
@@ -110,6 +110,9 @@
 func New(config Config) *Process {
 	settings := config.Settings
 	store := platform.NewStore(settings.StoreAddr, platform.NewHTTPClient(storeConns))
+	if settings.MaxRowBytes > 0 {
+		store.MaxRowBytes = settings.MaxRowBytes
+	}
 	process := &Process{
 		Config: config, directTable: store.Table(), calls: platform.NewWorkers(platform.NewHTTPClient(workerConns)).Calls(),
 		members: &memberClient{http: platform.NewHTTPClient(memberConns)}, metrics: newMetrics(config.Dropped),
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -239,10 +239,14 @@
 	if len(batch.writes) > 0 || o.Lease.SinceCommit() >= rowstore.OwnerLeaseRenewInterval {
 		err = o.Lease.Commit(ctx, batch.writes)
 	}
-	o.Metrics.CommitTime.Observe(time.Since(started).Seconds())
+	took := time.Since(started)
+	o.Metrics.CommitTime.Observe(took.Seconds())
 	o.Metrics.CommitRows.Add(float64(len(batch.writes)))
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.activity.commits++
+	o.activity.slowestCommit = max(o.activity.slowestCommit, took)
+	o.activity.accepted += len(batch.submissions)
 	o.commitStarted = 0
 	if err != nil {
 		return err
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -103,6 +103,7 @@
 	plannedAt       clock.Mark              // of the last scheduling pass
 	absencesCounted clock.Millis            // see countAbsences
 	endsLogged      bool                    // the ended runs that are being recorded were logged elsewhere
+	activity        activity
 
 	sessionsCtx context.Context // context of the sessions; set by Run before the first one
 	wg          sync.WaitGroup  // counts the planner, the sessions and the orders in flight
@@ -237,6 +238,9 @@
 	orders := o.pool.Plan(now, o.Clock.Wall())
 	for i := range orders {
 		order := orders[i]
+		if order.Kind == schedule.Start {
+			o.activity.starts++
+		}
 		if order.Kind == schedule.Ask {
 			o.wg.Go(func() { o.requestAdvice(ctx, order) })
 			continue
@@ -254,6 +258,8 @@
 		o.wg.Go(func() { o.sendOrder(ctx, s, order) })
 	}
 	o.countAbsences(now)
+	o.activity.slowestPass = max(o.activity.slowestPass, time.Since(started))
+	o.logActivity(now)
 	dirty := o.pool.Dirty()
 	o.Metrics.Suspects.WithLabelValues(string(o.Pool)).Set(float64(o.pool.Suspects()))
 	o.Metrics.TeamsOverShare.WithLabelValues(string(o.Pool)).Set(float64(o.pool.TeamsOverShare()))
--- a/owner/workers.go
+++ b/owner/workers.go
@@ -218,6 +218,7 @@
 	o.confirmWorker(id)
 	o.markUsed(id)
 	o.pool.Observe(id, r, now)
+	o.activity.ends += len(r.Ended)
 	if len(r.Ended) > 0 {
 		o.lastChange++
 	}
--- a/rowstore/errors.go
+++ b/rowstore/errors.go
@@ -33,6 +33,19 @@
 
 func (e *UnavailableError) Unwrap() error { return e.Err }
 
+// RowError reports a row of a transaction that the table service does not take. Nothing was sent.
+type RowError struct {
+	Ref                Ref
+	Field              string // table, partition, key or value
+	Bytes              int
+	MinBytes, MaxBytes int // accepted
+}
+
+func (e *RowError) Error() string {
+	return fmt.Sprintf("rowstore: row %.40s/%.40s/%.40s: %s of %d bytes is not accepted; accepted: %d to %d bytes",
+		e.Ref.Table, e.Ref.Partition, e.Ref.Key, e.Field, e.Bytes, e.MinBytes, e.MaxBytes)
+}
+
 // CompactedError reports that the requested history is no longer kept: the whole table has to be
 // read.
 type CompactedError struct {
--- a/rowstore/owner_lease.go
+++ b/rowstore/owner_lease.go
@@ -54,6 +54,8 @@
 	// LowCPU says that this member has little CPU and would hand the partition over to a member
 	// that has more.
 	LowCPU bool
+	// OnFailure is called with the error of each attempt of a commit that did not succeed. It may be nil.
+	OnFailure func(err error)
 
 	mu          sync.Mutex
 	rowRead     bool
@@ -245,6 +247,9 @@
 	case errors.As(err, &conflict):
 		return l.resolveConflict(conflict, next, sent)
 	}
+	if l.OnFailure != nil {
+		l.OnFailure(err)
+	}
 	return false, nil
 }
 
--- a/rowstore/table.go
+++ b/rowstore/table.go
@@ -36,6 +36,42 @@
 	Writes []Write
 }
 
+// MaxNameBytes is the longest name of a table, a partition or a key.
+const MaxNameBytes = 200
+
+// Check returns a *RowError for the first row that the table service would refuse, or nil. maxValueBytes is the
+// largest value that it takes.
+func (t *Transaction) Check(maxValueBytes int) error {
+	for i := range t.Checks {
+		if err := t.Checks[i].check(); err != nil {
+			return err
+		}
+	}
+	for i := range t.Writes {
+		w := &t.Writes[i]
+		if err := w.check(); err != nil {
+			return err
+		}
+		if !w.Delete && (len(w.Value) == 0 || len(w.Value) > maxValueBytes) {
+			return &RowError{Ref: w.Ref, Field: "value", Bytes: len(w.Value), MinBytes: 1, MaxBytes: maxValueBytes}
+		}
+	}
+	return nil
+}
+
+// check returns a *RowError for the first part of the reference that is not accepted, or nil.
+func (r *Ref) check() error {
+	for _, name := range []struct {
+		field, text string
+		min         int
+	}{{"table", r.Table, 1}, {"partition", r.Partition, 0}, {"key", r.Key, 1}} {
+		if len(name.text) < name.min || len(name.text) > MaxNameBytes {
+			return &RowError{Ref: *r, Field: name.field, Bytes: len(name.text), MinBytes: name.min, MaxBytes: MaxNameBytes}
+		}
+	}
+	return nil
+}
+
 // Scan requests all rows of a table whose keys begin with a prefix.
 type Scan struct {
 	Table     string
--- a/schedule/load.go
+++ b/schedule/load.go
@@ -66,6 +66,41 @@
 	return l
 }
 
+// Usage is how the capacity of a pool is used. Capacities are in millicores and leave out best-effort tasks.
+type Usage struct {
+	Workers  int
+	Usable   int   // workers that may be given tasks
+	Capacity int64 // of the usable workers
+	Used     int64 // of Capacity
+	InTime   int64 // needs of the waiting tasks that can still end in time, and of the long-running ones
+	Late     int64 // needs of the other waiting tasks
+	Starting int   // starts without a response
+}
+
+// Usage returns how the capacity of the pool is used at now.
+func (p *Pool) Usage(now clock.Millis) Usage {
+	u := Usage{Workers: len(p.sortedWorkers), Starting: len(p.startingTasks)}
+	for _, w := range p.sortedWorkers {
+		if w.isUsable(now) {
+			u.Usable++
+			u.Capacity += w.Capacity.CPU
+			u.Used += w.used.CPU
+		}
+	}
+	for _, s := range p.ready.steps {
+		if !s.isReady() || s.spec.BestEffort {
+			continue
+		}
+		need := s.spec.Needs.CPU * int64(s.waitingTasks)
+		if s.rank(now).class == classLate {
+			u.Late += need
+		} else {
+			u.InTime += need
+		}
+	}
+	return u
+}
+
 // suspectedNeeds returns the millicores that suspected tasks wait for and are too late to count in
 // Load.Active.
 func (p *Pool) suspectedNeeds(now clock.Millis) int64 {
