Spread the owner leases over the zones

Cause: all members claim at the start, and the first that are up win.

For a pool that never had an owner, the zones claim one after the other, each lease beginning with another zone; at a takeover, members of a zone with more than an even share of the leases claim later. A deployment whose settings name no zones claims as before.

--- a/hosted/claim.go
+++ b/hosted/claim.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 
 	"citronknot/clock"
 	"citronknot/fleet"
+	"citronknot/job"
 	"citronknot/owner"
 	"citronknot/rowstore"
 )
@@ -16,6 +19,12 @@
 // pools it already owns, and the further its CPU is below minOwnerCPU.
 const (
 	claimWaitPerPool clock.Millis = 400 // for each pool that the member owns or dispatches for
+	// claimWaitPerZoneLease is for each lease beyond an even share that members of the same zone hold. It leaves
+	// time to notice the vacancy, and to claim, in the other zones.
+	claimWaitPerZoneLease clock.Millis = 300
+	// firstClaimWaitPerZone is for each zone that comes first for a pool that never had an owner. The
+	// members start at about the same time, within less than this.
+	firstClaimWaitPerZone clock.Millis = 400
 	// minOwnerCPU is the CPU in cores that the owner of 100 or more workers needs at the poll
 	// interval of package worker. With less, its polls are late and task leases expire.
 	minOwnerCPU = 0.4
@@ -28,19 +37,57 @@
 	lowCPUFirstClaimWait clock.Millis = 6000
 )
 
-// ClaimWait returns how long a member waits before it claims a vacant pool. ownedPools is the
-// number of pools that the member already owns. cpuCores is the CPU that it may use, in cores, or 0
-// if that is unknown. neverOwned says that the pool never had an owner.
-func ClaimWait(ownedPools int, cpuCores float64, neverOwned bool) clock.Millis {
-	wait := clock.Millis(ownedPools) * claimWaitPerPool
-	if !isLowCPU(cpuCores) {
+// Claimant is a member that may claim a vacant pool.
+type Claimant struct {
+	OwnedPools int     // pools that it owns or dispatches for
+	CPUCores   float64 // that it may use; 0 if that is unknown
+	NeverOwned bool    // the pool never had an owner
+	// ZoneExcess is the number of leases by which the member's zone holds more than an even share.
+	ZoneExcess int
+	// ZoneRank is the place of the member's zone in the order in which the zones claim a pool that never had an
+	// owner; see [ZoneRank].
+	ZoneRank int
+}
+
+// Wait returns how long the member waits before it claims the pool.
+func (c Claimant) Wait() clock.Millis {
+	wait := clock.Millis(c.OwnedPools)*claimWaitPerPool + clock.Millis(c.ZoneExcess)*claimWaitPerZoneLease
+	if c.NeverOwned {
+		wait += clock.Millis(c.ZoneRank) * firstClaimWaitPerZone
+	}
+	if !isLowCPU(c.CPUCores) {
 		return wait
 	}
 	maxWait := lowCPUClaimWait
-	if neverOwned {
+	if c.NeverOwned {
 		maxWait = lowCPUFirstClaimWait
 	}
-	return wait + clock.Millis(float64(maxWait)*(1-cpuCores/minOwnerCPU))
+	return wait + clock.Millis(float64(maxWait)*(1-c.CPUCores/minOwnerCPU))
+}
+
+// ZoneRank returns the place of a zone in the order in which the zones claim the lease with an index among all
+// leases. The zones come first for different leases in turn, so that the loss of one zone stops few pools.
+func ZoneRank(zones []fleet.ZoneID, zone fleet.ZoneID, lease int) int {
+	i := slices.Index(zones, zone)
+	if i < 0 || lease < 0 {
+		return 0
+	}
+	return (i - lease%len(zones) + len(zones)) % len(zones)
+}
+
+// ZoneExcess returns by how many leases a zone holds more than an even share of them, which counts as
+// rounded down.
+func ZoneExcess(zones []fleet.ZoneID, zone fleet.ZoneID, holders []rowstore.Holder) int {
+	if len(zones) == 0 {
+		return 0
+	}
+	held := 0
+	for _, h := range holders {
+		if h.Member != "" && h.Zone == zone {
+			held++
+		}
+	}
+	return max(0, held-len(holders)/len(zones))
 }
 
 // isLowCPU reports whether a member has too little CPU to own a large pool. An unknown CPU, 0,
@@ -55,19 +102,16 @@
 	if _, read := p.evacuations.ConfirmationAge(); catalog == nil || !read {
 		return
 	}
-	ids := []fleet.PoolID{fleetPartition}
-	for id, pool := range catalog.Pools { // in random order
-		if !pool.Spare {
-			ids = append(ids, id)
-		}
-	}
-	for _, id := range ids {
+	ids := leaseIDs(catalog)
+	for _, i := range rand.Perm(len(ids)) {
+		id := ids[i]
 		lease := p.ownerLease(id)
 		if err := lease.Observe(rowstore.Row{}); err != nil { // has an effect only if no row was read: the pool never had an owner
 			p.Log.Error("hosted: skipped an invalid owner lease", "pool", id, "err", err)
 		}
 		vacant, former := lease.Vacant()
-		if !p.mayClaim(id, vacant, lease.Holder().Fence == 0) {
+		claimant := p.claimant(ids, i, lease.Holder().Fence == 0)
+		if !p.mayClaim(id, vacant, claimant) {
 			continue
 		}
 		ok, err := lease.Claim(ctx)
@@ -84,9 +128,39 @@
 	}
 }
 
+// leaseIDs returns the partitions that need an owner lease, sorted.
+func leaseIDs(catalog *job.Catalog) []fleet.PoolID {
+	ids := []fleet.PoolID{fleetPartition}
+	for id, pool := range catalog.Pools {
+		if !pool.Spare {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// claimant describes this member as one that may claim the ith lease.
+func (p *Process) claimant(ids []fleet.PoolID, i int, neverOwned bool) Claimant {
+	holders := make([]rowstore.Holder, 0, len(ids))
+	for _, id := range ids {
+		holders = append(holders, p.ownerLease(id).Holder())
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := Claimant{
+		OwnedPools: len(p.owners) + len(p.dispatchers), CPUCores: p.Settings.CPUCores, NeverOwned: neverOwned,
+		ZoneExcess: ZoneExcess(p.Settings.Zones, p.Settings.Zone, holders), ZoneRank: ZoneRank(p.Settings.Zones, p.Settings.Zone, i),
+	}
+	if p.fleetLeader != nil {
+		c.OwnedPools++
+	}
+	return c
+}
+
 // mayClaim reports whether a pool has been vacant for at least this member's claim wait. It records
 // when the pool was first observed to be vacant.
-func (p *Process) mayClaim(id fleet.PoolID, vacant, neverOwned bool) bool {
+func (p *Process) mayClaim(id fleet.PoolID, vacant bool, c Claimant) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !vacant || p.owners[id] != nil || (id == fleetPartition && p.fleetLeader != nil) {
@@ -99,11 +173,7 @@
 		since = now
 		p.vacantSince[id] = now
 	}
-	ownedPools := len(p.owners) + len(p.dispatchers)
-	if p.fleetLeader != nil {
-		ownedPools++
-	}
-	return now-since >= ClaimWait(ownedPools, p.Settings.CPUCores, neverOwned)
+	return now-since >= c.Wait()
 }
 
 // Limits of the requests to low-CPU owners to hand a pool over.
