Look machines of a wave up instead of comparing them one by one

Callers saw: nothing that is traced to it alone; the fleet leader's reports and moves wait for its planning pass.

Cause: for each machine that may be moved or maintained, the planner searched the list of the wave's machines, and counted the machines that are down anew. With 1,100 machines and 594 in a wave a pass took 22 to 36 ms on this machine, on members that have a fifth of a core.

Change: a wave keeps its machines as a set, and a pass counts those that are down once before it chooses.

--- a/machine/moves.go
+++ b/machine/moves.go
@@ -126,7 +126,7 @@
 // come.
 func (p *Planner) awaitsMaintenance(m *trackedMachine) bool {
 	for _, w := range p.waves {
-		if !w.complete && !w.done[m.ID] && slices.Contains(w.Machines, m.ID) {
+		if !w.complete && w.members[m.ID] && !w.done[m.ID] {
 			return true
 		}
 	}
--- a/machine/planner.go
+++ b/machine/planner.go
@@ -83,6 +83,7 @@
 // trackedWave is a wave with its progress.
 type trackedWave struct {
 	Wave
+	members     map[ID]bool // the wave's machines
 	firstSeenAt clock.Millis
 	done        map[ID]bool // machines whose maintenance has begun, or that the platform does not count to the wave
 	complete    bool        // no machine of the wave is pending
@@ -155,11 +156,12 @@
 func (p *Planner) SetWave(w Wave, done []ID, now clock.Millis) {
 	for _, known := range p.waves {
 		if known.Number == w.Number {
-			known.Wave = w
+			known.update(w)
 			return
 		}
 	}
-	added := &trackedWave{Wave: w, firstSeenAt: now, done: map[ID]bool{}}
+	added := &trackedWave{firstSeenAt: now, done: map[ID]bool{}}
+	added.update(w)
 	for _, id := range done {
 		added.done[id] = true
 	}
@@ -167,6 +169,17 @@
 	slices.SortFunc(p.waves, func(a, b *trackedWave) int { return cmp.Compare(a.Number, b.Number) })
 }
 
+// update sets what the operator asks for.
+func (t *trackedWave) update(w Wave) {
+	if t.members == nil || !slices.Equal(t.Machines, w.Machines) {
+		t.members = make(map[ID]bool, len(w.Machines))
+		for _, id := range w.Machines {
+			t.members[id] = true
+		}
+	}
+	t.Wave = w
+}
+
 // SetLoad processes a pool's report. The report of an owner that has a successor is ignored: the successor
 // may have started tasks on workers that the former owner reports as drained.
 func (p *Planner) SetLoad(l PoolLoad, now clock.Millis) {
--- a/machine/waves.go
+++ b/machine/waves.go
@@ -53,8 +53,9 @@
 			cmp.Compare(a.longRunning, b.longRunning), cmp.Compare(a.tasks, b.tasks), cmp.Compare(a.ID, b.ID),
 		)
 	})
+	down := p.countDown(w, now)
 	for _, m := range pending {
-		if inProgress+p.countDown(w, now) >= w.MaxDown+drainAhead {
+		if inProgress+down >= w.MaxDown+drainAhead {
 			return
 		}
 		if m.intent != nil || m.State != Up || (!urgent && p.shortageWithout(m, now) > 0) {
@@ -80,7 +81,7 @@
 	n := 0
 	for _, m := range p.machines {
 		ordered := m.maintenanceWave == w && m.ordered
-		if ordered || (slices.Contains(w.Machines, m.ID) && (m.State == InMaintenance || p.isHeld(m.ID, now))) {
+		if ordered || (w.members[m.ID] && (m.State == InMaintenance || p.isHeld(m.ID, now))) {
 			n++
 		}
 	}
