Give leases up whose commits are slow because the store refuses the member

Cause: the owner of the pool could not reach the store and went on through calls that other members relay, each of them slow. Enough of them succeeded to keep the lease, so it stayed the owner for the whole peak.

Members that do not reach the store themselves claim 2.5 s later than the others.

--- a/hosted/claim.go
+++ b/hosted/claim.go
@@ -37,11 +37,16 @@
 	lowCPUFirstClaimWait clock.Millis = 6000
 )
 
+// storeDownClaimWait is the extra wait of a member that reaches the store only through another one. The members
+// that reach it directly have claimed by then, if there are any.
+const storeDownClaimWait clock.Millis = 2500
+
 // Claimant is a member that may claim a vacant pool.
 type Claimant struct {
 	OwnedPools int     // pools that it owns or dispatches for
 	CPUCores   float64 // that it may use; 0 if that is unknown
 	NeverOwned bool    // the pool never had an owner
+	StoreDown  bool    // the store does not respond to it directly
 	// ZoneExcess is the number of leases by which the member's zone holds more than an even share.
 	ZoneExcess int
 	// ZoneRank is the place of the member's zone in the order in which the zones claim a pool that never had an
@@ -55,6 +60,9 @@
 	if c.NeverOwned {
 		wait += clock.Millis(c.ZoneRank) * firstClaimWaitPerZone
 	}
+	if c.StoreDown {
+		wait += storeDownClaimWait
+	}
 	if !isLowCPU(c.CPUCores) {
 		return wait
 	}
@@ -150,6 +158,7 @@
 	defer p.mu.Unlock()
 	c := Claimant{
 		OwnedPools: len(p.owners) + len(p.dispatchers), CPUCores: p.Settings.CPUCores, NeverOwned: neverOwned,
+		StoreDown:  p.storeRoute.DirectDownFor() > 0,
 		ZoneExcess: ZoneExcess(p.Settings.Zones, p.Settings.Zone, holders), ZoneRank: ZoneRank(p.Settings.Zones, p.Settings.Zone, i),
 	}
 	if p.fleetLeader != nil {
--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -124,6 +124,7 @@
 			p.restartLeaseTimers()
 		} else if !p.closing.Load() {
 			p.claimVacant(ctx)
+			p.releaseSlowLeases()
 			p.requestHandOvers(ctx)
 			p.offerDispatch()
 		}
--- a/hosted/process.go
+++ b/hosted/process.go
@@ -65,6 +65,7 @@
 type Process struct {
 	Config
 	directTable        *rowstore.Table // the row store, called directly
+	storeRoute         *rowstore.Relay
 	table              *rowstore.Table // the row store, through another member while this one can't reach it
 	calls              worker.Calls
 	members            *memberClient
@@ -125,11 +126,11 @@
 		Clock: config.Clock, OwnZone: settings.Zone, Limit: fleet.ConfirmationLimit(settings.EvacuationTime),
 		OnHold: func(reason fleet.HoldReason) { process.metrics.heldBackStarts.WithLabelValues(string(reason)).Inc() },
 	}
-	relayRoute := &rowstore.Relay{
+	process.storeRoute = &rowstore.Relay{
 		Direct: process.directTable, Relayed: process.relayTable, Clock: config.Clock,
 		OnRelay: process.metrics.relayedCalls.Inc, OnDirectFailure: process.evacuations.Fail,
 	}
-	process.table = relayRoute.Table()
+	process.table = process.storeRoute.Table()
 	if settings.MachinesAddr.IsValid() {
 		process.machines = platform.NewMachines(settings.MachinesAddr, platform.NewHTTPClient(machineConns)).Calls()
 	}
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -248,6 +248,7 @@
 	o.activity.slowestCommit = max(o.activity.slowestCommit, took)
 	o.activity.accepted += len(batch.submissions)
 	o.commitStarted = 0
+	o.latestCommit = clock.Millis(took.Milliseconds())
 	if err != nil {
 		return err
 	}
@@ -255,6 +256,16 @@
 	return nil
 }
 
+// CommitTime returns how long the commit in progress has taken, or the latest one if that took longer.
+func (o *Owner) CommitTime() clock.Millis {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.commitStarted == 0 {
+		return o.latestCommit
+	}
+	return max(o.latestCommit, o.Clock.Now()-o.commitStarted)
+}
+
 // takeBatch collects the content of the next commit.
 func (o *Owner) takeBatch() (*commitBatch, error) {
 	o.mu.Lock()
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -95,6 +95,7 @@
 	durableChange uint64        // number of the newest such report that is durable
 	committed     chan struct{} // closed and replaced after each commit
 	commitStarted clock.Millis  // when the current commit began; 0 if there is none
+	latestCommit  clock.Millis  // how long the latest commit took
 
 	divided         bool // dispatchers are to serve the workers; see Divides
 	dispatchers     map[fleet.MemberID]*dispatcherRecord
--- a/rowstore/relay.go
+++ b/rowstore/relay.go
@@ -33,6 +33,7 @@
 	mu               sync.Mutex
 	directRetryAt    clock.Millis // before this time the direct path is not tried first
 	directRetryDelay clock.Millis
+	directDownSince  clock.Mark   // of the first failure in a row of the direct path; valid if directRetryDelay is not 0
 	relayRetryAt     clock.Millis // before this time the relay is not tried
 }
 
@@ -149,6 +150,16 @@
 	return r.Clock.Now() >= r.directRetryAt
 }
 
+// DirectDownFor returns how long no call on the direct path has got a response, or 0 if the latest one did.
+func (r *Relay) DirectDownFor() clock.Millis {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.directRetryDelay == 0 {
+		return 0
+	}
+	return max(1, r.Clock.MinElapsed(r.directDownSince))
+}
+
 func (r *Relay) recordDirect(ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -156,6 +167,9 @@
 		r.directRetryDelay, r.directRetryAt = 0, 0
 		return
 	}
+	if r.directRetryDelay == 0 {
+		r.directDownSince = r.Clock.Mark()
+	}
 	r.directRetryDelay = min(directRetryMax, max(directRetryMin, 2*r.directRetryDelay))
 	r.directRetryAt = r.Clock.Now() + r.directRetryDelay
 }
