Count a job's objective from the arrival of its submission

Callers saw: after a takeover or behind slow commits most jobs of a class ended late while the pool started more tasks than were asked for.

Cause: a job counted as accepted when its commit was done. Jobs that had waited for seconds, for an owner or for the store, ranked as new and took the room of jobs that could still be in time, which were late in their turn.

Change: a submission carries the time for which its call has been in the system, between members as waited_ms; the objective, the rank and the backlog count from the arrival.

Result: TestObjectiveCountsFromTheArrivalOfTheSubmission failed before (10 ms where 810 had passed), passes now.

--- a/hosted/calls.go
+++ b/hosted/calls.go
@@ -173,14 +173,15 @@
 	}
 	ctx, cancel := withDeadline(ctx, c.Deadline)
 	defer cancel()
-	answer := p.submitUnlessPresent(ctx, ref, j)
+	answer := p.submitUnlessPresent(ctx, ref, j, start)
 	p.recordOutcome("submit", ref, answer, start)
 	return answer
 }
 
 // submitUnlessPresent submits a job to its queue's pool, unless a former pool of the queue already
-// has the job or its owner does not say whether it has. It then returns that pool's answer.
-func (p *Process) submitUnlessPresent(ctx context.Context, ref jobRef, j *job.Job) job.Answer {
+// has the job or its owner does not say whether it has. It then returns that pool's answer. arrival is the
+// time at which the call arrived.
+func (p *Process) submitUnlessPresent(ctx context.Context, ref jobRef, j *job.Job, arrival time.Time) job.Answer {
 	if err := p.checkStoredSize(j); err != nil {
 		return job.Answer{Outcome: job.OutcomeInvalid, Detail: err.Error()}
 	}
@@ -190,11 +191,14 @@
 		}
 	}
 	accepted := job.Answer{Outcome: job.OutcomeDone, State: job.Queued}
+	waited := func() clock.Millis { return clock.Millis(time.Since(arrival).Milliseconds()) }
 	return p.perform(ctx, poolCall{
-		pool:  ref.queue.Pool,
-		local: func(ctx context.Context, o *owner.Owner) (job.Answer, error) { return accepted, o.Submit(ctx, j) },
+		pool: ref.queue.Pool,
+		local: func(ctx context.Context, o *owner.Owner) (job.Answer, error) {
+			return accepted, o.Submit(ctx, j, waited())
+		},
 		remote: func(ctx context.Context, address string) (job.Answer, error) {
-			return accepted, p.members.submit(ctx, address, ref.queue.Pool, j)
+			return accepted, p.members.submit(ctx, address, ref.queue.Pool, j, waited())
 		},
 	})
 }
--- a/hosted/jobs.go
+++ b/hosted/jobs.go
@@ -15,7 +15,10 @@
 	handler := &caller.Jobs{
 		Catalog: p.catalog.Load,
 		Submit: func(ctx context.Context, c caller.JobCall, j *job.Job) job.Answer {
-			return p.handleCallerCall(ctx, "submit", c, func(ctx context.Context, ref jobRef) job.Answer { return p.submitUnlessPresent(ctx, ref, j) })
+			arrival := time.Now()
+			return p.handleCallerCall(ctx, "submit", c, func(ctx context.Context, ref jobRef) job.Answer {
+				return p.submitUnlessPresent(ctx, ref, j, arrival)
+			})
 		},
 		Cancel: func(ctx context.Context, c caller.JobCall) job.Answer {
 			return p.handleCallerCall(ctx, "cancel", c, func(ctx context.Context, ref jobRef) job.Answer { return p.performOnPools(ctx, ref, p.cancelCall) })
--- a/hosted/members.go
+++ b/hosted/members.go
@@ -112,7 +112,24 @@
 	if err != nil {
 		return wireResponse{}, &owner.RefusedError{Reason: err.Error(), Final: true}
 	}
-	return wireResponse{}, o.Submit(ctx, j)
+	return wireResponse{}, o.Submit(ctx, j, parseWaited(r.URL.Query().Get(waitedParam)))
+}
+
+// waitedParam is the parameter of a submission between members that says how long the call has been in the
+// system, in milliseconds. Members of earlier versions neither send nor read it.
+const waitedParam = "waited_ms"
+
+// maxWaited is the longest time for which a call is believed to have been in the system. Callers do not wait
+// longer for an answer.
+const maxWaited clock.Millis = 10_000
+
+// parseWaited decodes waitedParam. Without a valid value the call counts as new.
+func parseWaited(text string) clock.Millis {
+	waited, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || waited < 0 {
+		return 0
+	}
+	return min(clock.Millis(waited), maxWaited)
 }
 
 func (p *Process) serveState(ctx context.Context, o *owner.Owner, r *http.Request) (wireResponse, error) {
@@ -144,12 +161,13 @@
 	return fmt.Sprintf("http://%s/v1/pools/%s", address, pool)
 }
 
-func (m *memberClient) submit(ctx context.Context, address string, pool fleet.PoolID, j *job.Job) error {
+// submit submits a job at the member that owns its pool. waited is how long the call has been in the system.
+func (m *memberClient) submit(ctx context.Context, address string, pool fleet.PoolID, j *job.Job, waited clock.Millis) error {
 	body, err := j.Encode()
 	if err != nil {
 		return err
 	}
-	_, err = m.call(ctx, http.MethodPost, poolPath(address, pool)+"/jobs", body)
+	_, err = m.call(ctx, http.MethodPost, fmt.Sprintf("%s/jobs?%s=%d", poolPath(address, pool), waitedParam, waited), body)
 	return err
 }
 
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -141,7 +141,7 @@
 }
 
 // addJob adds a durable job to the pool. progress is nil for a new job; age is the time since the
-// job was accepted.
+// submission arrived.
 func (o *Owner) addJob(j *job.Job, progress *job.Progress, age, now clock.Millis) {
 	policy, ok := o.Policy(j.Queue)
 	if !ok {
@@ -333,7 +333,7 @@
 	o.durableChange = max(o.durableChange, batch.throughChange)
 	for _, s := range batch.submissions {
 		delete(o.submissions, s.job.ID)
-		o.addJob(s.job, nil, 0, now)
+		o.addJob(s.job, nil, now-s.arrivedAt, now)
 		s.succeed()
 	}
 	for _, c := range batch.changes {
--- a/owner/commit_test.go
+++ b/owner/commit_test.go
@@ -1,9 +1,13 @@
 package owner_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
+	"log/slog"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +15,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"citronknot/clock"
 	"citronknot/fleet"
 	"citronknot/job"
 	"citronknot/owner"
@@ -77,7 +82,7 @@
 		time.Sleep(time.Second)
 		step := job.Step{Count: 50, Needs: job.Resources{CPU: 10}}
 		for _, id := range []job.ID{"00000000000000aa", "00000000000000bb"} {
-			must.NoError(t, poolOwner.Submit(ctx, &job.Job{ID: id, Queue: "q", Steps: []job.Step{step}}))
+			must.NoError(t, poolOwner.Submit(ctx, &job.Job{ID: id, Queue: "q", Steps: []job.Step{step}}, 0))
 		}
 		time.Sleep(20 * time.Second)
 		status, _, err := poolOwner.Status(ctx, "00000000000000aa")
@@ -90,3 +95,39 @@
 		must.True(t, errors.Is(poolOwner.stop(), context.Canceled))
 	})
 }
+
+// Guards against jobs that rank as new after they have waited for a slow commit or for a change of the owner: they
+// took the capacity of jobs that could still be in time.
+func TestObjectiveCountsFromTheArrivalOfTheSubmission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const commitTime = 800 * time.Millisecond
+		store := newStore()
+		table := store.table()
+		table.Transact = func(ctx context.Context, tx rowstore.Transaction) ([]fleet.Version, error) {
+			if slices.ContainsFunc(tx.Writes, func(w rowstore.Write) bool { return w.Table == "jobs" }) {
+				time.Sleep(commitTime)
+			}
+			return store.transact(ctx, tx)
+		}
+		var log bytes.Buffer
+		w := &endingWorker{}
+		poolOwner := startOwner(t, owner.Config{
+			Table: table, Former: rowstore.HolderReleased, Calls: w.calls(), Log: slog.New(slog.NewTextHandler(&log, nil)), FinalStateRetention: 60_000,
+		})
+		poolOwner.SetWorkers([]owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: 1, Capacity: job.Resources{CPU: 1000}}, Address: "a"}})
+		time.Sleep(time.Second)
+		step := job.Step{Count: 1, Needs: job.Resources{CPU: 10}}
+		for id, waited := range map[job.ID]clock.Millis{"00000000000000aa": 0, "00000000000000bb": 2500} {
+			log.Reset()
+			must.NoError(t, poolOwner.Submit(t.Context(), &job.Job{ID: id, Queue: "q", Steps: []job.Step{step}}, waited))
+			time.Sleep(time.Second)
+			var took int
+			_, after, found := strings.Cut(log.String(), "all tasks are done after ")
+			must.True(t, found)
+			_, err := fmt.Sscan(after, &took)
+			must.NoError(t, err)
+			must.Between(t, int(waited)+800, took, int(waited)+1000)
+		}
+		must.True(t, errors.Is(poolOwner.stop(), context.Canceled))
+	})
+}
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -12,6 +12,7 @@
 type submission struct {
 	job        *job.Job
 	encoded    []byte
+	arrivedAt  clock.Millis  // at the first member that took the call, on the owner's clock
 	committing bool          // part of a commit, so it can no longer be refused
 	done       chan struct{} // closed once the outcome is decided
 	err        error         // nil if the job is durable; valid after done is closed
@@ -53,12 +54,13 @@
 	retryAfterNoOwner  = clock.Millis(500)  // while the pool changes its owner
 )
 
-// Submit makes a job durable and adds it to the pool. It also returns nil if the job was accepted
+// Submit makes a job durable and adds it to the pool. waited is how long the call has been in the system; the
+// job's objective counts from its arrival there. Submit also returns nil if the job was accepted
 // before. Otherwise it fails with *RefusedError, or with *UnknownError if the job may still be
 // accepted; no other code decides between the two. An error of another type means that the job
 // could not be encoded.
-func (o *Owner) Submit(ctx context.Context, j *job.Job) error {
-	s, err := o.enqueue(j)
+func (o *Owner) Submit(ctx context.Context, j *job.Job, waited clock.Millis) error {
+	s, err := o.enqueue(j, waited)
 	if s == nil || err != nil {
 		return err
 	}
@@ -82,7 +84,7 @@
 
 // enqueue queues a job for the next commit. It returns the submission to wait for, or nil if the
 // job is already accepted.
-func (o *Owner) enqueue(j *job.Job) (*submission, error) {
+func (o *Owner) enqueue(j *job.Job, waited clock.Millis) (*submission, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch {
@@ -109,13 +111,14 @@
 		o.recordRefusal(j, &r)
 		return nil, &RefusedError{Reason: "the pool can't run the job in time", Final: true, RetryAfter: r.RetryAfter}
 	}
-	j.Accepted = o.Clock.Wall()
+	arrivedAt := o.Clock.Now() - waited
+	j.Accepted = o.Clock.Wall() - waited
 	encoded, err := j.Encode()
 	if err != nil {
 		return nil, err
 	}
-	o.pool.Expect(j, policy, o.Clock.Now())
-	s := &submission{job: j, encoded: encoded, done: make(chan struct{})}
+	o.pool.Expect(j, policy, waited, o.Clock.Now())
+	s := &submission{job: j, encoded: encoded, arrivedAt: arrivedAt, done: make(chan struct{})}
 	o.submissions[j.ID] = s
 	o.uncommitted = append(o.uncommitted, s)
 	return s, nil
--- a/schedule/refuse.go
+++ b/schedule/refuse.go
@@ -159,13 +159,14 @@
 	return at - now + clock.Millis(work/capacity)
 }
 
-// Expect counts the work of an accepted job that is not added yet, because it is not durable.
-func (p *Pool) Expect(j *job.Job, policy Policy, now clock.Millis) {
+// Expect counts the work of an accepted job that is not added yet, because it is not durable. age is the time
+// since its submission arrived.
+func (p *Pool) Expect(j *job.Job, policy Policy, age, now clock.Millis) {
 	if j.Runs > 0 || j.LongRunning() || p.expected[j.ID].work != (job.Resources{}) {
 		return
 	}
 	path := j.CriticalPath()
-	e := expectedWork{group: backlogGroup{priority: policy.Priority}, start: now + policy.objective(path) - path, work: workOf(j)}
+	e := expectedWork{group: backlogGroup{priority: policy.Priority}, start: now - age + policy.objective(path) - path, work: workOf(j)}
 	p.expected[j.ID] = e
 	p.backlog.rate.add(e.work, now)
 	p.backlog.add(e.group, e.start, e.work)
--- a/schedule/refuse_test.go
+++ b/schedule/refuse_test.go
@@ -106,7 +106,7 @@
 		return
 	}
 	s.accepted = c.now
-	c.pool.Expect(s.job, testPolicy, c.now)
+	c.pool.Expect(s.job, testPolicy, 0, c.now)
 	c.pool.Add(s.job, testPolicy, nil, 0, c.now)
 	c.waiting = append(c.waiting, s)
 }
@@ -345,7 +345,7 @@
 	for n := range 100 {
 		j := newJob(1_000_000+n, newStep(8))
 		if !c.pool.Refuse(j, testPolicy, c.now).Refused {
-			c.pool.Expect(j, testPolicy, c.now)
+			c.pool.Expect(j, testPolicy, 0, c.now)
 			admitted = append(admitted, j.ID)
 		}
 	}
