Refuse entries of workers and machines that can't exist

Reported by operators of similar systems: one odd entry among those of the workers, and the members that read the list ended or stopped following it. Here, ports out of range, addresses with a path, capacities of -5 or 2^63-1, start times at either end of the range, 100,000 labels and a missing zone were accepted as workers to use; one machine with a field of another type cost the whole list of machines, one row of a page the whole page.

Change: the adapter checks each entry once; what is out of range is an EntryError that names field, value and accepted range, and costs that entry alone. Times that do not fit are bounded before they are converted, which differs between processors.

--- a/hosted/process.go
+++ b/hosted/process.go
@@ -132,7 +132,11 @@
 	}
 	process.table = process.storeRoute.Table()
 	if settings.MachinesAddr.IsValid() {
-		process.machines = platform.NewMachines(settings.MachinesAddr, platform.NewHTTPClient(machineConns)).Calls()
+		machines := platform.NewMachines(settings.MachinesAddr, platform.NewHTTPClient(machineConns))
+		machines.OnInvalid = func(err error) {
+			config.Log.Warn("hosted: skipped an invalid entry of the list of machines", "err", err)
+		}
+		process.machines = machines.Calls()
 	}
 	if settings.AdviserAddr.IsValid() {
 		process.advise = platform.NewAdviser(settings.AdviserAddr, platform.NewHTTPClient(adviceConns)).Advise
--- a/hosted/process_test.go
+++ b/hosted/process_test.go
@@ -4,12 +4,15 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"citronknot/fleet"
+	"citronknot/schedule"
 	"citronknot/standin/deployment"
 )
 
@@ -205,6 +208,49 @@
 	c.waitComplete(c.otherMember(), jobID(1), 5*time.Second)
 }
 
+// Guards against members that end, or stop following the list of workers, because of an odd entry of another
+// writer, and against the use of a worker that can't exist.
+func TestOddWorkerEntriesCostOnlyThemselves(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, 1)
+	owner := c.waitForOwner()
+	entry := func(changed, value string) []byte {
+		fields := map[string]string{
+			"backend": `"sorting"`, "addr": `"127.0.0.1:1"`, "zone": `"z1"`, "state": `"ready"`, "capacity": `{"cpu":64000,"memMb":1024,"gpu":0}`,
+			"labels": `["a"]`, "machine": `"odd"`, "born": `1700000000000`, changed: value,
+		}
+		var text []string
+		for name, v := range fields {
+			text = append(text, strconv.Quote(name)+":"+v)
+		}
+		return []byte("{" + strings.Join(text, ",") + "}")
+	}
+	deep := strings.Repeat("[", 20000) + strings.Repeat("]", 20000)
+	for i, odd := range [][2]string{
+		{"addr", `"127.0.0.1:99999"`},
+		{"addr", `"127.0.0.1:0"`},
+		{"addr", `"127.0.0.1"`},
+		{"addr", `"127.0.0.1:80/x?y#"`},
+		{"capacity", `{"cpu":9223372036854775807,"memMb":9223372036854775807,"gpu":9223372036854775807}`},
+		{"capacity", `{"cpu":-5,"memMb":-5,"gpu":0}`},
+		{"born", `9223372036854775807`},
+		{"born", `1e400`},
+		{"zone", `""`},
+		{"other", deep},
+		{"labels", deep},
+	} {
+		c.store.PutRaw("servers", "", fmt.Sprintf("odd-%d", i), entry(odd[0], odd[1]))
+	}
+	later := c.addWorker("z1")
+	c.waitFor(5*time.Second, "the owner uses a worker that registers after the odd entries", func() bool {
+		pool := owner.Dump().Pools["sorting"]
+		return slices.ContainsFunc(pool.Schedule.Workers, func(w schedule.WorkerDump) bool { return w.ID == fleet.InstanceID(later.ID) })
+	})
+	must.Eq(t, 2, owner.Dump().Pools["sorting"].KnownWorkers)
+	c.submit(c.otherMember(), jobID(1), jobBody(4, 50))
+	c.waitComplete(c.otherMember(), jobID(1), 5*time.Second)
+}
+
 // Guards against a planned stop that keeps its pool until the owner lease expires, or that leaves
 // calls without a response.
 func TestPlannedStop(t *testing.T) {
--- a/job/check.go
+++ b/job/check.go
@@ -15,6 +15,7 @@
 	MaxOccurrences = 10000                                // occurrences of a timed job
 	maxResource    = 1 << 40                              // in each dimension of a task's needs
 	maxDuration    = clock.Millis(365 * 24 * 3600 * 1000) // one year
+	latestTime     = clock.Millis(4_102_444_800_000)      // 2100-01-01, in milliseconds since 1970
 	idDigits       = 16
 )
 
@@ -32,6 +33,9 @@
 	if err := checkRange("runs", int64(j.Runs), 0, MaxOccurrences); err != nil {
 		return err
 	}
+	if err := checkRange("first", int64(j.First), 0, int64(latestTime)); err != nil {
+		return err
+	}
 	if err := checkRange("interval", int64(j.Interval), 0, int64(maxDuration)); err != nil {
 		return err
 	}
