Compare reloaded settings by their content

Cause: the settings hold a list of zones since the leases are spread over them, and no longer compare with ==, so that the command did not build since. The packages were tested without it.

Change: settings are compared with reflect.DeepEqual.

--- a/cmd/citronknotd/hosted.go
+++ b/cmd/citronknotd/hosted.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 
@@ -111,10 +112,11 @@
 		log.Error("hosted: settings not reloaded; the old settings stay in force", "cause", cause, "err", err)
 		return old
 	}
-	if *next == *old && cause == "file" {
+	changed := !reflect.DeepEqual(next, old)
+	if !changed && cause == "file" {
 		return old
 	}
 	process.Reload(next)
-	log.Info("hosted: settings reloaded", "cause", cause, "changed", *next != *old)
+	log.Info("hosted: settings reloaded", "cause", cause, "changed", changed)
 	return next
 }
