Repeat the release of an owner lease until the store responds

Cause: a release was tried once. The relay had failed just before, because the commit in progress was cancelled, so that the release went to the store directly, which refused it. The other members waited until the lease expired.

Result: TestReleaseIsRepeatedUntilTheStoreResponds failed before (status 503 after one attempt), passes now.

--- a/rowstore/owner_lease.go
+++ b/rowstore/owner_lease.go
@@ -334,8 +334,8 @@
 }
 
 // Release gives the lease up, so that another member can acquire it at once. All orders must
-// have ended before the call. It does nothing if the lease is not held. It fails with
-// *ConflictError or *UnavailableError.
+// have ended before the call. It does nothing if the lease is not held. It tries again until the table
+// service responds or ctx ends, and fails with *ConflictError or *UnavailableError.
 func (l *OwnerLease) Release(ctx context.Context) error {
 	l.mu.Lock()
 	held, version := l.held, l.version
@@ -349,14 +349,19 @@
 	if err != nil {
 		return eris.Wrap(err, "rowstore: encode owner lease")
 	}
-	for range maxReleaseAttempts {
+	for conflicts := 0; conflicts < maxReleaseConflicts; {
 		_, err = l.Table.Transact(ctx, Transaction{
 			Checks: []Check{{Ref: l.ref(), Version: version}}, Writes: []Write{{Ref: l.ref(), Value: value}},
 		})
 		var conflict *ConflictError
-		if !errors.As(err, &conflict) {
+		if err == nil || ctx.Err() != nil {
 			return err
 		}
+		if !errors.As(err, &conflict) {
+			sleep(ctx, commitRetryMin)
+			continue
+		}
+		conflicts++
 		current, row, found := l.conflictingRow(conflict)
 		if !found || row.Holder != string(l.Self) || row.Fence != next.Fence {
 			return nil // released, or held by another member
@@ -366,9 +371,9 @@
 	return err
 }
 
-// maxReleaseAttempts bounds the attempts of a release. It is one more than the number of commits
+// maxReleaseConflicts bounds the conflicts of a release. It is one more than the number of commits
 // that may be in flight.
-const maxReleaseAttempts = 2
+const maxReleaseConflicts = 2
 
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d clock.Millis) {
--- a/rowstore/owner_lease_test.go
+++ b/rowstore/owner_lease_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -350,3 +351,36 @@
 	must.NoError(t, err)
 	must.True(t, direct.has("k"), must.Sprint("a read has found that the direct path works again"))
 }
+
+// Guards against a pool without an owner until its lease expires, because the store or a relay failed once during
+// the release.
+func TestReleaseIsRepeatedUntilTheStoreResponds(t *testing.T) {
+	store := &fakeStore{}
+	table := store.table()
+	transact := table.Transact
+	failures := 0
+	table.Transact = func(ctx context.Context, tx rowstore.Transaction) ([]fleet.Version, error) {
+		if failures > 0 {
+			failures--
+			return nil, &rowstore.UnavailableError{Op: "transaction", Err: errors.New("status 503")}
+		}
+		return transact(ctx, tx)
+	}
+	lease := &rowstore.OwnerLease{Table: table, Clock: clock.Clock{}, Partition: "p", Self: "m", Address: "m:1"}
+	must.NoError(t, lease.Observe(rowstore.Row{}))
+	ok, err := lease.Claim(t.Context())
+	must.NoError(t, err)
+	must.True(t, ok)
+	failures = 3
+	must.NoError(t, lease.Release(t.Context()))
+	must.Zero(t, failures)
+
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	other := &rowstore.OwnerLease{Table: table, Clock: clock.Clock{}, Partition: "q", Self: "m", Address: "m:1"}
+	must.NoError(t, other.Observe(rowstore.Row{}))
+	_, err = other.Claim(t.Context())
+	must.NoError(t, err)
+	failures = 1000
+	must.Error(t, other.Release(ctx), must.Sprint("a release ends with its context"))
+}
