End a pass when many steps wait for pending starts

Callers saw: after a takeover a class goes on being late for seconds although its pool has room.

Change: once 32 steps have found no worker in a pass with pending starts at their limit, the pass ends; the responses wake the next one.

--- a/schedule/fair.go
+++ b/schedule/fair.go
@@ -294,6 +294,9 @@
 		}
 		if !p.placeRanked(r, full.known || p.full, now) {
 			full.record(r)
+			if p.deferStep() {
+				return false, false
+			}
 		}
 		if full.covers(p.shares.least) {
 			break
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -9,7 +9,7 @@
 // placeWaitingTasks starts waiting tasks on workers with free capacity, in the order of their
 // steps' ranks and of the shares of their teams.
 func (p *Pool) placeWaitingTasks(now clock.Millis) {
-	p.startsDeferred, p.searches = false, 0
+	p.startsDeferred, p.searches, p.deferredSteps = false, 0, 0
 	if len(p.forecasts) > 0 {
 		clear(p.forecasts)
 	}
@@ -43,6 +43,9 @@
 		}
 		if !p.placeRanked(r, full.known || p.full, now) {
 			full.record(r)
+			if p.deferStep() {
+				return false, false
+			}
 		}
 	}
 	return full.known, true
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -82,6 +82,7 @@
 	placeWaits       []*task                        // tasks that wait for a near place
 	forecasts        map[fleet.RackID]*rackForecast // of the current pass
 	searches         int                            // workers searched for a task in the last pass
+	deferredSteps    int                            // see deferStep
 	shares           shares                         // of teams with a weight
 	overCapacity     map[*worker]clock.Millis       // workers that are over their capacity, and since when
 
--- a/schedule/starter.go
+++ b/schedule/starter.go
@@ -98,6 +98,22 @@
 // StartsDeferred reports whether the last pass left out starts until pending starts have a response.
 func (p *Pool) StartsDeferred() bool { return p.startsDeferred }
 
+// maxDeferredSteps is the number of steps in a pass that find no worker because of pending starts before the pass
+// ends. The responses are there within a fraction of a second and wake another one. Load: a new
+// owner of a large pool, with free capacity and thousands of waiting tasks, whose dispatchers all
+// have as many pending starts as they may. Without the limit, each pass searches all workers for each
+// step.
+const maxDeferredSteps = 32
+
+// deferStep records that a step found no worker, and reports whether so many have because of pending
+// starts that the pass is to end.
+func (p *Pool) deferStep() bool {
+	if p.startsDeferred {
+		p.deferredSteps++
+	}
+	return p.deferredSteps >= maxDeferredSteps
+}
+
 // startLimitReached reports whether no starter may have another pending start. If so, it records
 // that starts are deferred.
 func (p *Pool) startLimitReached() bool {
