Keep relayed calls off the connections that commits use

Callers saw: while the store refuses a third of the members, their owners' commits through the others time out after 600 ms each, and pools of owners that the store does answer stall as well.

Cause: all refused members have their feeds relayed by the few lease holders. A feed that waits for a change held one of the holder's 16 connections to the store for a second, so that relayed commits, and the holder's own, waited for a connection.

Change: a relayed feed waits at the member that wants it, and calls for other members use connections of their own.

Result: TestRelayedFeedsDoNotHoldConnections fails with the wait at the other member, passes now.

--- a/hosted/harness_test.go
+++ b/hosted/harness_test.go
@@ -46,9 +46,11 @@
 // responding.
 type member struct {
 	*hosted.Process
-	settings *platform.Settings
-	storeCut atomic.Bool // the proxy to the store doesn't respond
-	stopped  bool
+	settings    *platform.Settings
+	storeCut    atomic.Bool  // the proxy to the store doesn't respond
+	waiting     atomic.Int32 // calls to the store that wait for a change
+	mostWaiting atomic.Int32
+	stopped     bool
 }
 
 const (
@@ -129,6 +131,10 @@
 			<-r.Context().Done()
 			return
 		}
+		if wait := r.URL.Query().Get("waitMs"); wait != "" && wait != "0" {
+			m.mostWaiting.Store(max(m.mostWaiting.Load(), m.waiting.Add(1)))
+			defer m.waiting.Add(-1)
+		}
 		c.store.ServeHTTP(w, r)
 	}))
 	c.t.Cleanup(storeProxy.Close)
--- a/hosted/process.go
+++ b/hosted/process.go
@@ -41,6 +41,7 @@
 	// are forwarded to that member at the same time.
 	memberConns  = 32
 	storeConns   = 16
+	relayedConns = 16 // to the store, for calls of other members
 	machineConns = 8
 	// adviceConns is the number of connections to the adviser. The adviser handles the calls of one
 	// member one after the other, and queues at most 32 calls of all members together.
@@ -65,6 +66,7 @@
 type Process struct {
 	Config
 	directTable        *rowstore.Table // the row store, called directly
+	relayedTable       *rowstore.Table // the same for calls of other members
 	storeRoute         *rowstore.Relay
 	table              *rowstore.Table // the row store, through another member while this one can't reach it
 	calls              worker.Calls
@@ -110,12 +112,8 @@
 // New returns a process that is not yet running; Start starts it.
 func New(config Config) *Process {
 	settings := config.Settings
-	store := platform.NewStore(settings.StoreAddr, platform.NewHTTPClient(storeConns))
-	if settings.MaxRowBytes > 0 {
-		store.MaxRowBytes = settings.MaxRowBytes
-	}
 	process := &Process{
-		Config: config, directTable: store.Table(), calls: platform.NewWorkers(platform.NewHTTPClient(workerConns)).Calls(),
+		Config: config, directTable: newTable(settings, storeConns), relayedTable: newTable(settings, relayedConns), calls: platform.NewWorkers(platform.NewHTTPClient(workerConns)).Calls(),
 		members: &memberClient{http: platform.NewHTTPClient(memberConns)}, metrics: newMetrics(config.Dropped),
 		ownerLeases: map[fleet.PoolID]*rowstore.OwnerLease{}, owners: map[fleet.PoolID]*ownedPool{},
 		vacantSince: map[fleet.PoolID]clock.Millis{}, lowCPULeases: map[fleet.PoolID]observedLease{},
@@ -146,6 +144,15 @@
 	return process
 }
 
+// newTable returns the row store, called through at most conns connections.
+func newTable(s *platform.Settings, conns int) *rowstore.Table {
+	store := platform.NewStore(s.StoreAddr, platform.NewHTTPClient(conns))
+	if s.MaxRowBytes > 0 {
+		store.MaxRowBytes = s.MaxRowBytes
+	}
+	return store.Table()
+}
+
 // Start opens the listeners and starts to follow the row store in the background. It fails if a
 // listener can't be opened; listeners that are open by then stay open.
 func (p *Process) Start() error {
--- a/hosted/relay.go
+++ b/hosted/relay.go
@@ -237,8 +237,12 @@
 	return result.Parts, fleet.Version(result.Newest), nil
 }
 
+// feed waits here before the call and not at the other member. Load: a third of the members can't reach the store
+// and have their feeds relayed by the few lease holders; calls that wait would hold the holders' connections
+// to the store.
 func (r *storeRelay) feed(ctx context.Context, table string, after fleet.Version, wait clock.Millis) (rowstore.FeedPage, error) {
-	result, err := r.call(ctx, wireStoreCall{Op: "feed", Table: table, After: uint64(after), Wait: int64(wait)})
+	sleep(ctx, wait)
+	result, err := r.call(ctx, wireStoreCall{Op: "feed", Table: table, After: uint64(after)})
 	if err != nil {
 		return rowstore.FeedPage{}, err
 	}
@@ -250,7 +254,8 @@
 }
 
 // serveStore makes a call to the store for another member. It calls the store directly and never
-// through a further member.
+// through a further member, on connections of their own, so that relayed calls do not delay this
+// member's commits.
 func (p *Process) serveStore(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxStoreBytes))
 	var call wireStoreCall
@@ -263,7 +268,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), 2*time.Second)
 	defer cancel()
-	result, err := json.Marshal(runStoreCall(ctx, p.directTable, call))
+	result, err := json.Marshal(runStoreCall(ctx, p.relayedTable, call))
 	if err != nil {
 		writeResponse(w, http.StatusGatewayTimeout, wireResponse{Reason: err.Error()})
 		return
--- a/hosted/store_access_test.go
+++ b/hosted/store_access_test.go
@@ -50,3 +50,29 @@
 	c.waitComplete(m, jobID(1), 12*time.Second)
 	must.SliceEmpty(t, deployment.DuplicateRuns(c.workers))
 }
+
+// Guards against commits that wait for a connection to the store, because calls of other members that wait for changes
+// hold all of them.
+func TestRelayedFeedsDoNotHoldConnections(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 8, 1)
+	owner := c.waitForOwner()
+	for _, m := range c.members {
+		m.storeCut.Store(m != owner)
+	}
+	id := jobID(1)
+	c.submit(owner, id, jobBody(1, 50))
+	c.waitFor(6*time.Second, "all members follow the configuration through the owner", func() bool {
+		c.configure(2)
+		for _, m := range c.members {
+			if m.Dump().ConfigVersion != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	owner.mostWaiting.Store(0)
+	time.Sleep(3 * time.Second)
+	must.LessEq(t, 1, owner.mostWaiting.Load(), must.Sprint("only its own feed of the configuration waits"))
+	c.waitComplete(owner, id, 5*time.Second)
+}
