Divide the known workers of a large pool among rows

Cause: all workers on which a pool may have runs stood in one row, about 86 bytes each.

Change: the known workers are divided among rows of at most half the accepted size.

Result: TestKnownWorkersOfLargePoolFitIntoTheirRows, 1,100 workers, fails with one row (the lease expires), passes now.

--- a/owner/commit.go
+++ b/owner/commit.go
@@ -21,7 +21,7 @@
 	jobsTable     = "jobs"
 	progressTable = "progress"
 	workersTable  = "workers"
-	knownKey      = "known" // key of the only row of workersTable
+	knownKey      = "known" // key of the first row of workersTable, and the prefix of the others
 )
 
 // Limits of one commit. The store accepts 100 rows and 1 MB, which include the row of the owner
@@ -69,6 +69,7 @@
 			}
 			progress[job.ID(r.Key)] = p
 		case workersTable:
+			o.knownRows++
 			known, err := decodeKnownWorkers(r.Value)
 			if err != nil {
 				o.unconfirmed[unknownWorkers] = true
@@ -279,12 +280,15 @@
 		batch.add(rowstore.Write{Ref: o.ref(jobsTable, string(s.job.ID)), Value: s.encoded})
 	}
 	if o.knownWorkersDirty {
-		knownRow, err := o.knownWorkersRow(o.knownWorkers)
+		writes, err := o.knownWorkersRows(o.knownWorkers)
 		if err != nil {
 			return nil, err
 		}
 		batch.knownWorkers, o.knownWorkersDirty = maps.Clone(o.knownWorkers), false
-		batch.add(knownRow)
+		for _, w := range writes {
+			batch.add(w)
+		}
+		o.knownRows = len(writes)
 	}
 	for len(o.removedJobs) > 0 && batch.hasRoom(maxCommitRows/2) {
 		id := string(o.removedJobs[0])
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -81,6 +81,7 @@
 	// The durable version of knownWorkers. A worker is first polled once it is recorded here.
 	savedKnownWorkers map[fleet.InstanceID]knownWorker
 	knownWorkersDirty bool
+	knownRows         int                       // rows of known workers that the store may have
 	unconfirmed       map[fleet.InstanceID]bool // known at the takeover, and no response since
 	endedIncarnations map[fleet.InstanceID]endedIncarnation
 	formerLeasesEnd   clock.Millis // when all leases given by the former owner have expired
--- a/owner/recovery_test.go
+++ b/owner/recovery_test.go
@@ -48,6 +48,9 @@
 	for i, w := range t.Writes {
 		versions[i] = s.version
 		s.rows[w.Ref] = rowstore.Row{Ref: w.Ref, Version: s.version, Value: w.Value}
+		if w.Delete {
+			delete(s.rows, w.Ref)
+		}
 	}
 	return versions, nil
 }
--- a/owner/unused_workers_test.go
+++ b/owner/unused_workers_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"citronknot/fleet"
 	"citronknot/job"
 	"citronknot/owner"
 	"citronknot/rowstore"
@@ -64,3 +66,43 @@
 		must.Eq(t, `{"w1":{"born_ms":1,"address":"b"}}`, atStart)
 	})
 }
+
+// Guards against a pool that can't commit any more once it has about 800 workers: the row that names them was larger than
+// the store takes, for this owner and for each later one.
+func TestKnownWorkersOfLargePoolFitIntoTheirRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		table := store.table()
+		table.Transact = func(ctx context.Context, tx rowstore.Transaction) ([]fleet.Version, error) {
+			if err := tx.Check(owner.DefaultMaxRowBytes); err != nil {
+				return nil, &rowstore.UnavailableError{Op: "transaction", OutcomeUnknown: true, Err: err}
+			}
+			return store.transact(ctx, tx)
+		}
+		workersOf := func(n int) []owner.ListedWorker {
+			var list []owner.ListedWorker
+			for i := range n {
+				list = append(list, owner.ListedWorker{
+					Worker:  schedule.Worker{ID: fleet.InstanceID(fmt.Sprintf("i-%010d", i)), Incarnation: 1_700_000_000_000, Capacity: job.Resources{CPU: 64000}},
+					Address: fmt.Sprintf("10.128.%d.%d:8080", i/200, i%200),
+				})
+			}
+			return list
+		}
+		former := startOwner(t, owner.Config{Table: table, Former: rowstore.HolderReleased})
+		former.SetWorkers(workersOf(1100))
+		time.Sleep(2 * time.Second)
+		must.True(t, former.lease.Exclusive(), must.Sprint("the commit of the known workers succeeds"))
+		must.True(t, errors.Is(former.stop(), context.Canceled))
+
+		lease := &rowstore.OwnerLease{Table: table, Clock: newClock(), Partition: "p", Self: "n", Address: "n:1"}
+		must.NoError(t, lease.Observe(store.rows[rowstore.Ref{Table: rowstore.OwnerLeaseTable, Partition: "p", Key: "holder"}]))
+		time.Sleep(3 * time.Second)
+		claimed, err := lease.Claim(t.Context())
+		must.NoError(t, err)
+		must.True(t, claimed)
+		next := startOwner(t, owner.Config{Table: table, Lease: lease, Clock: lease.Clock, Former: rowstore.HolderReleased})
+		must.Eq(t, 1100, next.Dump().KnownWorkers)
+		must.True(t, errors.Is(next.stop(), context.Canceled))
+	})
+}
--- a/owner/workers.go
+++ b/owner/workers.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/rowstore"
 	"citronknot/schedule"
 )
 
@@ -21,22 +17,6 @@
 	Address string
 }
 
-// knownWorker is the durable record of a worker on which tasks may run.
-type knownWorker struct {
-	Incarnation clock.Millis // its start time
-	Address     string
-	// Unused says that no start was sent to it. The platform lists workers for some seconds after they have
-	// ended; without the mark, the next owner would wait for them before it starts recovered tasks.
-	Unused bool
-}
-
-// wireKnownWorker is a knownWorker as it is stored.
-type wireKnownWorker struct {
-	Incarnation int64  `json:"born_ms"`
-	Address     string `json:"address"`
-	Unused      bool   `json:"unused,omitempty"` // missing in rows of earlier versions, whose workers count as used
-}
-
 // SetWorkers sets the workers of the pool that the platform lists now. A worker that is new is
 // polled once it is recorded durably. SetWorkers does nothing if the pool is not loaded or the
 // owner has stopped.
@@ -263,29 +243,3 @@
 	defer o.mu.Unlock()
 	return o.durableChange
 }
-
-// knownWorkersRow returns the write that makes the known workers durable.
-func (o *Owner) knownWorkersRow(known map[fleet.InstanceID]knownWorker) (rowstore.Write, error) {
-	wire := make(map[string]wireKnownWorker, len(known))
-	for id, k := range known {
-		wire[string(id)] = wireKnownWorker{Incarnation: int64(k.Incarnation), Address: k.Address, Unused: k.Unused}
-	}
-	value, err := json.Marshal(wire)
-	if err != nil {
-		return rowstore.Write{}, eris.Wrap(err, "owner: encode known workers")
-	}
-	return rowstore.Write{Ref: o.ref(workersTable, knownKey), Value: value}, nil
-}
-
-// decodeKnownWorkers decodes the row that knownWorkersRow writes.
-func decodeKnownWorkers(value []byte) (map[fleet.InstanceID]knownWorker, error) {
-	var wire map[string]wireKnownWorker
-	if err := json.Unmarshal(value, &wire); err != nil {
-		return nil, eris.Wrap(err, "owner: decode known workers")
-	}
-	out := make(map[fleet.InstanceID]knownWorker, len(wire))
-	for id, k := range wire {
-		out[fleet.InstanceID(id)] = knownWorker{Incarnation: clock.Millis(k.Incarnation), Address: k.Address, Unused: k.Unused}
-	}
-	return out, nil
-}
