Wait for the log in the test of a job's objective

Cause: the race detector found that the test reads and resets its log while the owner writes it.

Change: the test waits until all goroutines are idle first.

Result: go test -race ./owner passes three times.

--- a/owner/commit_test.go
+++ b/owner/commit_test.go
@@ -118,9 +118,11 @@
 		time.Sleep(time.Second)
 		step := job.Step{Count: 1, Needs: job.Resources{CPU: 10}}
 		for id, waited := range map[job.ID]clock.Millis{"00000000000000aa": 0, "00000000000000bb": 2500} {
+			synctest.Wait()
 			log.Reset()
 			must.NoError(t, poolOwner.Submit(t.Context(), &job.Job{ID: id, Queue: "q", Steps: []job.Step{step}}, waited))
 			time.Sleep(time.Second)
+			synctest.Wait()
 			var took int
 			_, after, found := strings.Cut(log.String(), "all tasks are done after ")
 			must.True(t, found)
