Let members claim late only while others reach the store

Cause: a member counted as without the store after one failed call of its own, and claimed 2.5 s later, also when the store had failed for all.

Change: it does so only while another member has just relayed a call. A field of a test that is not used goes.

--- a/hosted/claim.go
+++ b/hosted/claim.go
@@ -46,7 +46,7 @@
 	OwnedPools int     // pools that it owns or dispatches for
 	CPUCores   float64 // that it may use; 0 if that is unknown
 	NeverOwned bool    // the pool never had an owner
-	StoreDown  bool    // the store does not respond to it directly
+	StoreDown  bool    // the store responds to other members, and not to it
 	// ZoneExcess is the number of leases by which the member's zone holds more than an even share.
 	ZoneExcess int
 	// ZoneRank is the place of the member's zone in the order in which the zones claim a pool that never had an
@@ -158,7 +158,7 @@
 	defer p.mu.Unlock()
 	c := Claimant{
 		OwnedPools: len(p.owners) + len(p.dispatchers), CPUCores: p.Settings.CPUCores, NeverOwned: neverOwned,
-		StoreDown:  p.storeRoute.DirectDownFor() > 0,
+		StoreDown:  p.provenRelay != "" && p.storeRoute.DirectDownFor() > 0,
 		ZoneExcess: ZoneExcess(p.Settings.Zones, p.Settings.Zone, holders), ZoneRank: ZoneRank(p.Settings.Zones, p.Settings.Zone, i),
 	}
 	if p.fleetLeader != nil {
--- a/hosted/process.go
+++ b/hosted/process.go
@@ -113,7 +113,8 @@
 func New(config Config) *Process {
 	settings := config.Settings
 	process := &Process{
-		Config: config, directTable: newTable(settings, storeConns), relayedTable: newTable(settings, relayedConns), calls: platform.NewWorkers(platform.NewHTTPClient(workerConns)).Calls(),
+		Config: config, directTable: newTable(settings, storeConns), relayedTable: newTable(settings, relayedConns),
+		calls:   platform.NewWorkers(platform.NewHTTPClient(workerConns)).Calls(),
 		members: &memberClient{http: platform.NewHTTPClient(memberConns)}, metrics: newMetrics(config.Dropped),
 		ownerLeases: map[fleet.PoolID]*rowstore.OwnerLease{}, owners: map[fleet.PoolID]*ownedPool{},
 		vacantSince: map[fleet.PoolID]clock.Millis{}, lowCPULeases: map[fleet.PoolID]observedLease{},
--- a/machine/turns_test.go
+++ b/machine/turns_test.go
@@ -58,10 +58,9 @@
 // replayMachine is a machine with the worker that runs on it.
 type replayMachine struct {
 	machine.Machine
-	readyAt  clock.Millis // end of a move or of its maintenance; 0 if it is up
-	worker   int          // number of the worker on it
-	joinsAt  clock.Millis // when its worker takes tasks; 0 if it does
-	arriving fleet.PoolID // pool after a move
+	readyAt clock.Millis // end of a move or of its maintenance; 0 if it is up
+	worker  int          // number of the worker on it
+	joinsAt clock.Millis // when its worker takes tasks; 0 if it does
 }
 
 // replayPool is a pool with its load and what its jobs have come to.
