Stop spreading the owner leases over the zones

With about as many leases as zones, the zone that is cut off always holds one, where before it held several or none.

--- a/cmd/citronknotd/hosted.go
+++ b/cmd/citronknotd/hosted.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"reflect"
 	"syscall"
 	"time"
 
@@ -112,7 +111,7 @@
 		log.Error("hosted: settings not reloaded; the old settings stay in force", "cause", cause, "err", err)
 		return old
 	}
-	changed := !reflect.DeepEqual(next, old)
+	changed := *next != *old
 	if !changed && cause == "file" {
 		return old
 	}
--- a/hosted/claim.go
+++ b/hosted/claim.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
-	"slices"
 
 	"citronknot/clock"
 	"citronknot/fleet"
-	"citronknot/job"
 	"citronknot/owner"
 	"citronknot/rowstore"
 )
@@ -19,12 +16,6 @@
 // pools it already owns, and the further its CPU is below minOwnerCPU.
 const (
 	claimWaitPerPool clock.Millis = 400 // for each pool that the member owns or dispatches for
-	// claimWaitPerZoneLease is for each lease beyond an even share that members of the same zone hold. It leaves
-	// time to notice the vacancy, and to claim, in the other zones.
-	claimWaitPerZoneLease clock.Millis = 300
-	// firstClaimWaitPerZone is for each zone that comes first for a pool that never had an owner. The
-	// members start at about the same time, within less than this.
-	firstClaimWaitPerZone clock.Millis = 400
 	// minOwnerCPU is the CPU in cores that the owner of 100 or more workers needs at the poll
 	// interval of package worker. With less, its polls are late and task leases expire.
 	minOwnerCPU = 0.4
@@ -47,19 +38,11 @@
 	CPUCores   float64 // that it may use; 0 if that is unknown
 	NeverOwned bool    // the pool never had an owner
 	StoreDown  bool    // the store responds to other members, and not to it
-	// ZoneExcess is the number of leases by which the member's zone holds more than an even share.
-	ZoneExcess int
-	// ZoneRank is the place of the member's zone in the order in which the zones claim a pool that never had an
-	// owner; see [ZoneRank].
-	ZoneRank int
 }
 
 // Wait returns how long the member waits before it claims the pool.
 func (c Claimant) Wait() clock.Millis {
-	wait := clock.Millis(c.OwnedPools)*claimWaitPerPool + clock.Millis(c.ZoneExcess)*claimWaitPerZoneLease
-	if c.NeverOwned {
-		wait += clock.Millis(c.ZoneRank) * firstClaimWaitPerZone
-	}
+	wait := clock.Millis(c.OwnedPools) * claimWaitPerPool
 	if c.StoreDown {
 		wait += storeDownClaimWait
 	}
@@ -73,31 +56,6 @@
 	return wait + clock.Millis(float64(maxWait)*(1-c.CPUCores/minOwnerCPU))
 }
 
-// ZoneRank returns the place of a zone in the order in which the zones claim the lease with an index among all
-// leases. The zones come first for different leases in turn, so that the loss of one zone stops few pools.
-func ZoneRank(zones []fleet.ZoneID, zone fleet.ZoneID, lease int) int {
-	i := slices.Index(zones, zone)
-	if i < 0 || lease < 0 {
-		return 0
-	}
-	return (i - lease%len(zones) + len(zones)) % len(zones)
-}
-
-// ZoneExcess returns by how many leases a zone holds more than an even share of them, which counts as
-// rounded down.
-func ZoneExcess(zones []fleet.ZoneID, zone fleet.ZoneID, holders []rowstore.Holder) int {
-	if len(zones) == 0 {
-		return 0
-	}
-	held := 0
-	for _, h := range holders {
-		if h.Member != "" && h.Zone == zone {
-			held++
-		}
-	}
-	return max(0, held-len(holders)/len(zones))
-}
-
 // isLowCPU reports whether a member has too little CPU to own a large pool. An unknown CPU, 0,
 // counts as enough.
 func isLowCPU(cpuCores float64) bool { return cpuCores > 0 && cpuCores < minOwnerCPU }
@@ -110,16 +68,19 @@
 	if _, read := p.evacuations.ConfirmationAge(); catalog == nil || !read {
 		return
 	}
-	ids := leaseIDs(catalog)
-	for _, i := range rand.Perm(len(ids)) {
-		id := ids[i]
+	ids := []fleet.PoolID{fleetPartition}
+	for id, pool := range catalog.Pools { // in random order
+		if !pool.Spare {
+			ids = append(ids, id)
+		}
+	}
+	for _, id := range ids {
 		lease := p.ownerLease(id)
 		if err := lease.Observe(rowstore.Row{}); err != nil { // has an effect only if no row was read: the pool never had an owner
 			p.Log.Error("hosted: skipped an invalid owner lease", "pool", id, "err", err)
 		}
 		vacant, former := lease.Vacant()
-		claimant := p.claimant(ids, i, lease.Holder().Fence == 0)
-		if !p.mayClaim(id, vacant, claimant) {
+		if !p.mayClaim(id, vacant, p.claimant(lease.Holder().Fence == 0)) {
 			continue
 		}
 		ok, err := lease.Claim(ctx)
@@ -136,30 +97,13 @@
 	}
 }
 
-// leaseIDs returns the partitions that need an owner lease, sorted.
-func leaseIDs(catalog *job.Catalog) []fleet.PoolID {
-	ids := []fleet.PoolID{fleetPartition}
-	for id, pool := range catalog.Pools {
-		if !pool.Spare {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids
-}
-
-// claimant describes this member as one that may claim the ith lease.
-func (p *Process) claimant(ids []fleet.PoolID, i int, neverOwned bool) Claimant {
-	holders := make([]rowstore.Holder, 0, len(ids))
-	for _, id := range ids {
-		holders = append(holders, p.ownerLease(id).Holder())
-	}
+// claimant describes this member as one that may claim a pool.
+func (p *Process) claimant(neverOwned bool) Claimant {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := Claimant{
 		OwnedPools: len(p.owners) + len(p.dispatchers), CPUCores: p.Settings.CPUCores, NeverOwned: neverOwned,
-		StoreDown:  p.provenRelay != "" && p.storeRoute.DirectDownFor() > 0,
-		ZoneExcess: ZoneExcess(p.Settings.Zones, p.Settings.Zone, holders), ZoneRank: ZoneRank(p.Settings.Zones, p.Settings.Zone, i),
+		StoreDown: p.provenRelay != "" && p.storeRoute.DirectDownFor() > 0,
 	}
 	if p.fleetLeader != nil {
 		c.OwnedPools++
--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -146,7 +146,7 @@
 	lease := p.ownerLeases[pool]
 	if lease == nil {
 		lease = &rowstore.OwnerLease{
-			Table: p.table, Clock: p.Clock, Partition: string(pool), Self: p.Settings.Member, Address: p.memberAddress(), Zone: p.Settings.Zone,
+			Table: p.table, Clock: p.Clock, Partition: string(pool), Self: p.Settings.Member, Address: p.memberAddress(),
 			LowCPU: isLowCPU(p.Settings.CPUCores),
 			OnFailure: func(err error) {
 				p.Log.Warn("hosted: an attempt of a commit failed", "pool", pool, "err", err)
--- a/rowstore/owner_lease.go
+++ b/rowstore/owner_lease.go
@@ -51,7 +51,6 @@
 	Partition string
 	Self      fleet.MemberID
 	Address   string // at which other members reach this one
-	Zone      fleet.ZoneID
 	// LowCPU says that this member has little CPU and would hand the partition over to a member
 	// that has more.
 	LowCPU bool
@@ -71,7 +70,6 @@
 type wireOwnerLease struct {
 	Holder  string `json:"holder"`
 	Address string `json:"address,omitempty"`
-	Zone    string `json:"zone,omitempty"` // missing in rows of earlier versions
 	Fence   uint64 `json:"fence"`
 	Attempt string `json:"attempt"`
 	Weak    bool   `json:"weak,omitempty"`
@@ -82,7 +80,6 @@
 type Holder struct {
 	Member  fleet.MemberID // empty if the lease has no holder
 	Address string
-	Zone    fleet.ZoneID // empty if it is unknown
 	Fence   uint64
 	LowCPU  bool // see OwnerLease
 	// DispatchersWanted is the number of other members that the holder asks to call workers for it.
@@ -126,7 +123,7 @@
 func (l *OwnerLease) Holder() Holder {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Holder{Member: fleet.MemberID(l.row.Holder), Address: l.row.Address, Zone: fleet.ZoneID(l.row.Zone), Fence: l.row.Fence, LowCPU: l.row.Weak, DispatchersWanted: l.row.Wanted}
+	return Holder{Member: fleet.MemberID(l.row.Holder), Address: l.row.Address, Fence: l.row.Fence, LowCPU: l.row.Weak, DispatchersWanted: l.row.Wanted}
 }
 
 // FormerHolder is what is known of the former holder of a vacant partition.
@@ -164,7 +161,7 @@
 func (l *OwnerLease) Claim(ctx context.Context) (ok bool, err error) {
 	l.mu.Lock()
 	check := Check{Ref: l.ref(), Version: l.version}
-	next := wireOwnerLease{Holder: string(l.Self), Address: l.Address, Zone: string(l.Zone), Fence: l.row.Fence + 1, Attempt: newAttemptID(), Weak: l.LowCPU}
+	next := wireOwnerLease{Holder: string(l.Self), Address: l.Address, Fence: l.row.Fence + 1, Attempt: newAttemptID(), Weak: l.LowCPU}
 	sent := l.Clock.Mark()
 	l.mu.Unlock()
 	value, err := json.Marshal(next)
