review: case 4, one crash of a worker fails a job of 1,000 tasks

Cause: each run that is lost with a worker adds 80 bytes to the job's progress, which is one row of 65,536 bytes; the owner fails a job whose row is too large.

--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -57,6 +57,12 @@
 	s.apply([]row{{Table: table, Part: part, Key: key, Value: &text}}, nil)
 }
 
+func (s *store) remove(table, part, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(nil, []row{{Table: table, Part: part, Key: key}})
+}
+
 func (s *store) get(table, part, key string) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -55,33 +55,72 @@
 	changed chan struct{}
 	free    need
 	byJob   map[string]int // runs started, by job
+	server  *http.Server
+	down    chan struct{} // closed when this life ends
 }
 
+// start begins a life of the worker, which knows nothing of an earlier one.
 func (k *worker) start() error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
+	k.mu.Lock()
 	k.addr, k.born = l.Addr().String(), time.Now()
 	k.active, k.highest, k.changed = map[string]*run{}, map[string]int{}, make(chan struct{})
-	k.byJob = map[string]int{}
+	k.fence, k.until, k.ended, k.ends, k.seq = 0, 0, nil, 0, 0
+	if k.byJob == nil {
+		k.byJob = map[string]int{}
+	}
 	k.free = need{k.cpu, k.mem}
-	go func() { _ = http.Serve(l, k) }()
-	go func() {
-		for {
-			k.register()
-			time.Sleep(beat)
+	k.server, k.down = &http.Server{Handler: k}, make(chan struct{})
+	server, down := k.server, k.down
+	k.mu.Unlock()
+	go func() { _ = server.Serve(l) }()
+	go k.every(beat, down, k.register)
+	go k.every(5*time.Millisecond, down, func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.lapse()
+	})
+	return nil
+}
+
+// every calls f now and at each interval until down is closed.
+func (k *worker) every(interval time.Duration, down chan struct{}, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		f()
+		select {
+		case <-down:
+			return
+		case <-ticker.C:
 		}
-	}()
-	go func() {
-		for {
-			time.Sleep(5 * time.Millisecond)
-			k.mu.Lock()
-			k.lapse()
-			k.mu.Unlock()
+	}
+}
+
+// crash ends the worker and all that runs on it. Its entry in the store goes after three intervals of silence.
+func (k *worker) crash() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.w.log("worker %s: crashes under %d runs", k.id, len(k.active))
+	for _, r := range k.active {
+		r.timer.Stop()
+		r.ended, r.how = time.Now(), "lost"
+	}
+	k.active = map[string]*run{}
+	close(k.down)
+	_ = k.server.Close()
+	down := k.down
+	time.AfterFunc(3*beat, func() {
+		k.mu.Lock()
+		gone := k.down == down
+		k.mu.Unlock()
+		if gone {
+			k.w.store.remove("servers", "", k.id)
 		}
-	}()
-	return nil
+	})
 }
 
 func (k *worker) register() {
