--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -14,10 +14,14 @@
 // Bounds of the deployment that workers keep, as in the settings.
 const (
 	holdMaxMs  = 6000
+	stopMs     = 900
 	endsAtOnce = 500 // PROTOCOL.md: the ends that are not taken note of are returned 500 at a time
 	beat       = 1500 * time.Millisecond
 )
 
+// zoneDelay is the way from one zone to another, which the sheet of the site gives.
+const zoneDelay = 900 * time.Microsecond
+
 // run is one run of a task on a worker.
 type run struct {
 	worker  string
@@ -193,6 +197,7 @@
 		reply(w, 421, map[string]any{"clockMs": k.clock()})
 		return
 	}
+	time.Sleep(2 * zoneDelay)
 	k.mu.Lock()
 	if o.Fence < k.fence {
 		k.mu.Unlock()
