--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,7 +17,7 @@
 	unplayed = 2
 )
 
-var cases = map[string]func(*world) int{"cancel": playCancel, "crash": playCrash, "ends": playEnds, "cap": playCap}
+var cases = map[string]func(*world) int{"deadly": playDeadly, "crash": playCrash, "ends": playEnds, "cap": playCap}
 
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -19,6 +19,9 @@
 	beat       = 1500 * time.Millisecond
 )
 
+// downTime is how long a worker is away that a task has crashed.
+const downTime = 3 * time.Second
+
 // zoneDelay is the way from one zone to another, which the sheet of the site gives.
 const zoneDelay = 900 * time.Microsecond
 
@@ -251,6 +254,11 @@
 		d = time.Hour
 	}
 	x.timer = time.AfterFunc(d, func() {
+		if how == "crash" {
+			k.crash()
+			time.AfterFunc(downTime, func() { _ = k.start() })
+			return
+		}
 		k.mu.Lock()
 		defer k.mu.Unlock()
 		k.lapse()
@@ -309,11 +317,14 @@
 	reply(w, 200, body)
 }
 
-// duration reads a task's spec: "ms=4000" is done after 4 s, "lasts" runs until it is stopped. A spec with
+// duration reads a task's spec: "ms=4000" is done after 4 s, "lasts" runs until it is stopped, "crash" crashes the worker. A spec with
 // one such entry per step, separated by commas, gives each step its own.
 func duration(spec string, step, index int) (time.Duration, bool, string) {
 	parts := strings.Split(spec, ",")
 	p := parts[min(step, len(parts)-1)]
+	if p == "crash" {
+		return 10 * time.Millisecond, false, "crash"
+	}
 	if p == "lasts" {
 		return 0, true, "done"
 	}
