--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -137,6 +137,10 @@
 	reply(rw, 200, map[string]any{"machines": list, "nextToken": nil})
 }
 
+// subnet holds the loopback addresses of the members. It is one of its own for each process that runs cases, so that
+// cases can run beside each other.
+var subnet = fmt.Sprintf("127.%d.%d", 64+(os.Getpid()>>8)&63, os.Getpid()&255)
+
 // freePorts returns the ports of the members, which are the same on all their addresses: front, ready, and the
 // first two of the port range.
 func freePorts() (ports [4]int, err error) {
@@ -144,7 +148,7 @@
 		free := true
 		for ip := 1; ip <= 8 && free; ip++ {
 			for i := range 4 {
-				l, err := net.Listen("tcp", fmt.Sprintf("127.0.77.%d:%d", ip, base+i))
+				l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", subnet, ip, base+i))
 				if err != nil {
 					free = false
 					break
@@ -187,7 +191,7 @@
 
 func (w *world) addMember() (*member, error) {
 	i := len(w.members) + 1
-	m := &member{name: fmt.Sprintf("edge-roeselare-%d", i), ip: fmt.Sprintf("127.0.77.%d", i), w: w}
+	m := &member{name: fmt.Sprintf("edge-roeselare-%d", i), ip: fmt.Sprintf("%s.%d", subnet, i), w: w}
 	at := func(port int) string { return fmt.Sprintf("%s:%d", m.ip, port) }
 	settings := map[string]any{
 		"node": m.name, "role": "member", "machineClass": "edge", "serves": []string{"edge"}, "ip": m.ip, "zone": "roeselare", "region": "flanders",
