--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,7 +17,7 @@
 	unplayed = 2
 )
 
-var cases = map[string]func(*world) int{"deadly": playDeadly, "crash": playCrash, "ends": playEnds, "cap": playCap}
+var cases = map[string]func(*world) int{"deadly": playDeadly, "crash": playCrash, "ends": playEnds, "cap": playCap, "moved": playMoved, "rollback": playRollback, "pending": playPending, "occurrences": playOccurrences, "failing": playFailing, "starved": playStarved}
 
 func main() {
 	if len(os.Args) != 5 || cases[os.Args[1]] == nil {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -66,6 +66,7 @@
 	byJob   map[string]int // runs started, by job
 	server  *http.Server
 	down    chan struct{} // closed when this life ends
+	failing bool          // all that it starts fails
 }
 
 // start begins a life of the worker, which knows nothing of an earlier one.
@@ -246,6 +247,15 @@
 		return 409, "old"
 	}
 	needs, lasts, d, how := k.w.taskOf(o.Task, o.Spec)
+	if how == "once" {
+		how = "done"
+		if k.w.failsFirst(o.Task) {
+			how = "failed"
+		}
+	}
+	if k.failing {
+		how = "failed"
+	}
 	if needs.cpu > k.free.cpu || needs.mem > k.free.mem {
 		return 409, "room"
 	}
@@ -319,7 +329,7 @@
 	reply(w, 200, body)
 }
 
-// duration reads a task's spec: "ms=4000" is done after 4 s, "lasts" runs until it is stopped, "crash" crashes the worker. A spec with
+// duration reads a task's spec: "ms=4000" is done after 4 s, "once:ms=4000" the same, but fails in its first run, "lasts" runs until it is stopped, "crash" crashes the worker. A spec with
 // one such entry per step, separated by commas, gives each step its own.
 func duration(spec string, step, index int) (time.Duration, bool, string) {
 	parts := strings.Split(spec, ",")
@@ -332,6 +342,9 @@
 	}
 	var ms int
 	how := "done"
+	if rest, ok := strings.CutPrefix(p, "once:"); ok {
+		p, how = rest, "once"
+	}
 	if _, err := fmt.Sscanf(p, "ms=%d", &ms); err != nil {
 		return time.Second, false, "done"
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -25,6 +25,8 @@
 	EstMs       int64 `json:"estMs,omitempty"`
 	After       []int `json:"after,omitempty"`
 	LongRunning bool  `json:"longRunning,omitempty"`
+
+	MaxPerServer int `json:"maxPerServer,omitempty"`
 }
 
 type submission struct {
@@ -50,6 +52,7 @@
 
 	mu     sync.Mutex
 	jobs   map[string]submission
+	failed map[string]bool // tasks that have failed their first run
 	record *os.File
 	lines  int
 	cloud  string
@@ -78,7 +81,7 @@
 
 // newWorld starts the platform and writes the first configuration. The record goes to dir/record.txt.
 func newWorld(program, dir string, trouble bool) (*world, error) {
-	w := &world{store: newStore(), program: program, began: time.Now(), trouble: trouble, jobs: map[string]submission{}}
+	w := &world{store: newStore(), program: program, began: time.Now(), trouble: trouble, jobs: map[string]submission{}, failed: map[string]bool{}}
 	var err error
 	if w.record, err = os.Create(filepath.Join(dir, "record.txt")); err != nil {
 		return nil, err
@@ -103,22 +106,41 @@
 	if w.ports, err = freePorts(); err != nil {
 		return nil, err
 	}
+	w.configure(7, nil)
+	return w, nil
+}
+
+// route is how a version of the configuration sends a queue on.
+type route struct {
+	name string
+	pool int // index in pools
+}
+
+// configure writes a version of the configuration as the operator does. changed holds the queues, by index, whose
+// route differs from that of the first version.
+func (w *world) configure(version int, changed map[int]route) {
 	routes, backends := []map[string]any{}, []map[string]any{}
 	for i, q := range queues {
-		routes = append(routes, map[string]any{
-			"name": fmt.Sprintf("r-%d", i), "host": host, "pathPrefix": q, "type": "unsafe", "timeoutMs": 3000, "sloMs": 600, "priority": 0,
-			"backend": pools[i], "attempts": 4, "stretch": 1.6, "public": false,
-		})
+		to := route{name: fmt.Sprintf("r-%d", i), pool: i}
+		if c, ok := changed[i]; ok {
+			to = c
+		}
 		backends = append(backends, map[string]any{
 			"name": pools[i], "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false, "admissionCheck": true, "spare": false,
 		})
+		if to.name == "" {
+			continue // removed
+		}
+		routes = append(routes, map[string]any{
+			"name": to.name, "host": host, "pathPrefix": q, "type": "unsafe", "timeoutMs": 3000, "sloMs": 600, "priority": 0,
+			"backend": pools[to.pool], "attempts": 4, "stretch": 1.6, "public": false,
+		})
 	}
 	w.store.put("op", "", "config", map[string]any{
-		"version": 7, "routes": routes, "backends": backends,
+		"version": version, "routes": routes, "backends": backends,
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []map[string]any{{"name": "cugo130", "apiKeys": []string{key}, "priority": 1, "weight": 54, "cap": map[string]int64{"cpu": capCPU, "memMb": capMem, "gpu": 0}}},
 	})
-	return w, nil
 }
 
 // serveMachines is the platform's list of machines. No machine may be moved: there is one pool.
@@ -405,6 +427,17 @@
 	return out
 }
 
+// failsFirst reports whether a task has not failed yet, and remembers that it now fails.
+func (w *world) failsFirst(task string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.failed[task] {
+		return false
+	}
+	w.failed[task] = true
+	return true
+}
+
 func (w *world) running() int {
 	n := 0
 	for _, k := range w.workers {
