--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,7 +17,12 @@
 	unplayed = 2
 )
 
-var cases = map[string]func(*world) int{"deadly": playDeadly, "crash": playCrash, "ends": playEnds, "cap": playCap, "moved": playMoved, "rollback": playRollback, "pending": playPending, "occurrences": playOccurrences, "failing": playFailing, "starved": playStarved}
+var cases = map[string]func(*world) int{
+	// of the folders review/N
+	"moved": playMoved, "ends": playEnds, "rollback": playRollback, "starved": playStarved,
+	// found besides; see review/REPORT.md
+	"occurrences": playOccurrences, "failing": playFailing, "pending": playPending, "crash": playCrash, "deadly": playDeadly,
+}
 
 func main() {
 	if len(os.Args) != 5 || cases[os.Args[1]] == nil {
--- a/review/standin/starved.go
+++ b/review/standin/starved.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// playStarved runs a job of four tasks that last at one queue. Then the same tenant hands a large job in at another
-// queue, whose pool it fills, and one of the tasks that last fails.
+// playStarved runs a job of four tasks that last at one queue. Then the same tenant hands twenty jobs in at another queue,
+// of which one can never be done, and one of the tasks that last fails.
 func playStarved(w *world) int {
-	const large, lasting, lasts = "5c0e7a21d94b3700", "5c0e7a21d94b36f8", 4
+	const lasting, lasts = "5c0e7a21d94b36f8", 4
 	if !w.deploy(3, 2, workerCPU, workerMem) {
 		return w.fail("the deployment did not start")
 	}
@@ -20,42 +20,61 @@
 	if !w.await(10*time.Second, func() bool { return w.started(lasting) == lasts }) {
 		return w.fail("the job that lasts did not start")
 	}
-	j = submission{Spec: "ms=4000", Steps: []step{{Count: 8, CPU: 4000, MemMB: 512, EstMs: 4000}}}
-	if w.trouble {
-		j.Steps[0].Count = 300
-	}
-	if !w.submit(large, j, 20*time.Second) {
-		return w.fail("the large job was not accepted")
-	}
-	time.Sleep(8 * time.Second)
-	var failed *run
-	for _, k := range w.workers {
-		k.mu.Lock()
-		for _, r := range k.active {
-			if id, _, _, _ := splitTask(r.task); id == lasting && failed == nil {
-				failed = r
-				k.end(r, "failed")
-			}
+	for i := range 20 {
+		j := submission{Spec: "ms=500", Steps: []step{{Count: 4, CPU: 4000, MemMB: 512, EstMs: 500}}}
+		if i == 10 && w.trouble { // one in twenty needs more than any worker has
+			j.Steps[0].Count, j.Steps[0].CPU = 32, 20000
 		}
-		k.mu.Unlock()
+		if !w.submit(fmt.Sprintf("5c0e7a21d94b37%02x", i), j, 20*time.Second) {
+			return w.fail("a job was not accepted")
+		}
+		time.Sleep(100 * time.Millisecond)
 	}
-	if failed == nil {
+	w.log("the traffic ends")
+	time.Sleep(8 * time.Second)
+	failed := w.failOne(lasting)
+	if failed == "" {
 		return w.fail("no task that lasts is running")
 	}
-	var used map[string]int64
 	started := func() bool { return w.started(lasting) > lasts }
 	var broken []string
-	for range 5 { // 5 s and more, in steps of 3 s, from 6 s after the last run
+	for range 5 { // the rule holds from 6 s after the last run, for 3 s
 		if w.await(3*time.Second, started) {
 			break
 		}
-		used = w.use()
-		w.log("in use: %v of %d each", used, 2*workerCPU)
+		w.log("in use: %v of %d each", w.use(), 2*workerCPU)
 	}
-	if !started() {
+	if used := w.use(); !started() {
 		broken = append(broken, fmt.Sprintf(
 			"task %s, which lasts, has not been started again in the 15 s after its run failed; its pool uses %d of %d, the tenant %d of its cap of %d",
-			failed.task, used[pools[1]], 2*workerCPU, used[pools[0]]+used[pools[1]], capCPU))
+			failed, used[pools[1]], 2*workerCPU, used[pools[0]]+used[pools[1]], capCPU))
 	}
 	return w.verdict("LOST", broken)
 }
+
+// failOne ends one run of a job as failed, by its own fault, and returns its task.
+func (w *world) failOne(job string) string {
+	for _, k := range w.workers {
+		k.mu.Lock()
+		for _, r := range k.active {
+			if id, _, _, _ := splitTask(r.task); id == job {
+				k.end(r, "failed")
+				k.mu.Unlock()
+				return r.task
+			}
+		}
+		k.mu.Unlock()
+	}
+	return ""
+}
+
+// use returns the capacity in use by pool, in thousandths of a core.
+func (w *world) use() map[string]int64 {
+	used := map[string]int64{}
+	for _, k := range w.workers {
+		k.mu.Lock()
+		used[k.pool] += k.cpu - k.free.cpu
+		k.mu.Unlock()
+	}
+	return used
+}
