review: case 4 by a route that is added while the store turns the owner away

One disruption in place of a removed route, a restart and the route's return; the cause is the same: an owner that does not know a queue gives its jobs one attempt, for good.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -8,4 +8,4 @@
 esac
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/citronknotd ] && [ -x review/bin/standin ] || { echo "build the system and review/build.sh first" >&2; exit 2; }
-exec review/bin/standin rollback target/citronknotd review/4 "$TROUBLE"
+exec review/bin/standin newroute target/citronknotd review/4 "$TROUBLE"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,9 +19,9 @@
 
 var cases = map[string]func(*world) int{
 	// of the folders review/N
-	"moved": playMoved, "ends": playEnds, "rollback": playRollback, "starved": playStarved,
+	"moved": playMoved, "ends": playEnds, "newroute": playNewRoute, "starved": playStarved,
 	// found besides; see review/REPORT.md
-	"occurrences": playOccurrences, "failing": playFailing, "pending": playPending, "crash": playCrash, "deadly": playDeadly,
+	"rollback": playRollback, "occurrences": playOccurrences, "failing": playFailing, "pending": playPending, "crash": playCrash, "deadly": playDeadly,
 }
 
 func main() {
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -7,12 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -56,7 +58,6 @@
 	record *os.File
 	lines  int
 	cloud  string
-	addr   string // of the store
 	ports  [4]int
 }
 
@@ -89,17 +90,6 @@
 	if w.dir, err = os.MkdirTemp("", "review-"); err != nil {
 		return nil, err
 	}
-	serve := func(h http.Handler) (string, error) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", err
-		}
-		go func() { _ = http.Serve(l, h) }()
-		return l.Addr().String(), nil
-	}
-	if w.addr, err = serve(w.store); err != nil {
-		return nil, err
-	}
 	if w.cloud, err = serve(http.HandlerFunc(w.serveMachines)); err != nil {
 		return nil, err
 	}
@@ -110,6 +100,16 @@
 	return w, nil
 }
 
+// serve answers HTTP requests on a loopback address of its own, which it returns.
+func serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	go func() { _ = http.Serve(l, h) }()
+	return l.Addr().String(), nil
+}
+
 // route is how a version of the configuration sends a queue on.
 type route struct {
 	name string
@@ -207,6 +207,7 @@
 	name, ip string
 	w        *world
 	settings string
+	silent   atomic.Bool // the store does not answer this member
 	cmd      *exec.Cmd
 	done     chan struct{}
 }
@@ -215,6 +216,10 @@
 	i := len(w.members) + 1
 	m := &member{name: fmt.Sprintf("edge-roeselare-%d", i), ip: fmt.Sprintf("%s.%d", subnet, i), w: w}
 	at := func(port int) string { return fmt.Sprintf("%s:%d", m.ip, port) }
+	addr, err := serve(http.HandlerFunc(m.serveStore))
+	if err != nil {
+		return nil, err
+	}
 	settings := map[string]any{
 		"node": m.name, "role": "member", "machineClass": "edge", "serves": []string{"edge"}, "ip": m.ip, "zone": "roeselare", "region": "flanders",
 		"zones":  map[string]string{"roeselare": "flanders"},
@@ -233,7 +238,7 @@
 		},
 		"orders": "call",
 		"platform": map[string]any{
-			"addr": w.addr, "form": "table", "writesPerS": 800, "readsPerS": 2000, "txMs": 4.0, "partWritesPerS": 250, "rowBytes": rowBytes, "across": true, "historyS": 20,
+			"addr": addr, "form": "table", "writesPerS": 800, "readsPerS": 2000, "txMs": 4.0, "partWritesPerS": 250, "rowBytes": rowBytes, "across": true, "historyS": 20,
 		},
 		"cloud": map[string]any{"addr": w.cloud, "ratePerS": 64.0, "duties": []string{}, "dutyPerS": 64.0},
 	}
@@ -249,6 +254,23 @@
 	return m, m.start()
 }
 
+// serveStore answers the member's calls to the store, unless the store is silent to it when they come or when their
+// answers are ready.
+func (m *member) serveStore(rw http.ResponseWriter, r *http.Request) {
+	answer := httptest.NewRecorder()
+	if !m.silent.Load() {
+		m.w.store.ServeHTTP(answer, r)
+	}
+	if m.silent.Load() {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		return
+	}
+	rw.Header().Set("Content-Type", answer.Header().Get("Content-Type"))
+	rw.WriteHeader(answer.Code)
+	_, _ = rw.Write(answer.Body.Bytes())
+}
+
 func (m *member) start() error {
 	out, err := os.OpenFile(filepath.Join(m.w.dir, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
