rowstore: keep orders of earlier owners in the owner lease

Cause: a new owner derived how long it waits for orders of earlier owners from the newest row only. A release said that nobody sends orders, and a claim of one's own lease after a crash that only its dispatchers do. Both forgot the owner before, which sends orders until 8 s after its last commit.

Change: the row has former_orders_ms, how long holders before the one named may still send orders. Claims, commits and releases write what is left, and readers count from when they first read that version. A row without it, of an earlier version, counts as 6 s. FormerHolder and owner.Config.Former go.

TestOwnerWithoutStoreDoesNotFinishRecovery now takes its lease over from a holder that did not release it, as the setting Former said before.

--- a/hosted/claim.go
+++ b/hosted/claim.go
@@ -79,8 +79,7 @@
 		if err := lease.Observe(rowstore.Row{}); err != nil { // has an effect only if no row was read: the pool never had an owner
 			p.Log.Error("hosted: skipped an invalid owner lease", "pool", id, "err", err)
 		}
-		vacant, former := lease.Vacant()
-		if !p.mayClaim(id, vacant, p.claimant(lease.Holder().Fence == 0)) {
+		if !p.mayClaim(id, lease.Vacant(), p.claimant(lease.Holder().Fence == 0)) {
 			continue
 		}
 		ok, err := lease.Claim(ctx)
@@ -92,7 +91,7 @@
 		case ok && id == fleetPartition:
 			p.leadFleet(lease)
 		case ok:
-			p.runOwner(id, lease, former)
+			p.runOwner(id, lease)
 		}
 	}
 }
@@ -217,9 +216,9 @@
 
 // runOwner starts the owner of a pool whose lease this member has just claimed. It releases the
 // lease when the owner stops, unless the lease has expired or belongs to another member by then.
-func (p *Process) runOwner(id fleet.PoolID, lease *rowstore.OwnerLease, former rowstore.FormerHolder) {
+func (p *Process) runOwner(id fleet.PoolID, lease *rowstore.OwnerLease) {
 	poolOwner := owner.New(owner.Config{
-		Pool: id, Lease: lease, Former: former, Table: p.table, Calls: p.calls,
+		Pool: id, Lease: lease, Table: p.table, Calls: p.calls,
 		Clock: p.Clock, Log: p.Log, Metrics: p.metrics.owner,
 		CPUCores: p.Settings.CPUCores, FinalStateRetention: p.Settings.FinalStateRetention, StopTime: p.Settings.MaxStopTime,
 		PollWait: p.workerPollWait(), MaxRowBytes: p.Settings.MaxRowBytes, FarFactor: p.Settings.FarFactor,
--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 
+	"citronknot/dispatcher"
 	"citronknot/fleet"
 	"citronknot/job"
 	"citronknot/owner"
@@ -147,7 +148,7 @@
 	if lease == nil {
 		lease = &rowstore.OwnerLease{
 			Table: p.table, Clock: p.Clock, Partition: string(pool), Self: p.Settings.Member, Address: p.memberAddress(),
-			LowCPU: isLowCPU(p.Settings.CPUCores),
+			LowCPU: isLowCPU(p.Settings.CPUCores), DelegatedOrders: dispatcher.GrantLength,
 			OnFailure: func(err error) {
 				p.Log.Warn("hosted: an attempt of a commit failed", "pool", pool, "err", err)
 			},
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -104,7 +104,7 @@
 	o.savedKnownWorkers = maps.Clone(o.knownWorkers)
 	o.followKnownWorkers(now)
 	o.loaded = true
-	o.Log.Info("owner: pool taken over", "pool", o.Pool, "fence", o.Lease.Fence(), "former", o.Former.String(),
+	o.Log.Info("owner: pool taken over", "pool", o.Pool, "fence", o.Lease.Fence(), "former_orders_ms", int64(o.Lease.FormerOrders()),
 		"jobs", len(jobs), "known_workers", len(o.knownWorkers), "load_ms", int64(now-started), "settle_in_ms", int64(o.formerLeasesEnd-now))
 	return nil
 }
@@ -128,10 +128,10 @@
 
 // followKnownWorkers starts a session with each worker that an earlier owner knew. Recovery waits for
 // those on which it may have left runs. followKnownWorkers sets the time from which workers that never
-// respond have none of these: a former owner that did not release the pool may send orders until its
-// authority ends, and then its last worker lease has to expire.
+// respond have none of these: earlier owners may send orders until their authority ends, and then their
+// last worker lease has to expire.
 func (o *Owner) followKnownWorkers(now clock.Millis) {
-	o.formerLeasesEnd = now + formerOrders(o.Former) + formerLeaseLimit
+	o.formerLeasesEnd = now + max(0, o.Lease.FormerOrders()) + formerLeaseLimit
 	for id, k := range o.knownWorkers {
 		if !k.Unused {
 			o.unconfirmed[id] = true
--- a/owner/commit_test.go
+++ b/owner/commit_test.go
@@ -74,7 +74,7 @@
 		}
 		w := &endingWorker{failing: "00000000000000aa"}
 		poolOwner := startOwner(t, owner.Config{
-			Table: table, Former: rowstore.HolderReleased, Calls: w.calls(), FinalStateRetention: 60_000, MaxRowBytes: maxRowBytes,
+			Table: table, Calls: w.calls(), FinalStateRetention: 60_000, MaxRowBytes: maxRowBytes,
 			Policy: func(fleet.QueueID) (schedule.Policy, bool) { return schedule.Policy{Attempts: 100}, true },
 		})
 		ctx := t.Context()
@@ -112,7 +112,7 @@
 		var log bytes.Buffer
 		w := &endingWorker{}
 		poolOwner := startOwner(t, owner.Config{
-			Table: table, Former: rowstore.HolderReleased, Calls: w.calls(), Log: slog.New(slog.NewTextHandler(&log, nil)), FinalStateRetention: 60_000,
+			Table: table, Calls: w.calls(), Log: slog.New(slog.NewTextHandler(&log, nil)), FinalStateRetention: 60_000,
 		})
 		poolOwner.SetWorkers([]owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: 1, Capacity: job.Resources{CPU: 1000}}, Address: "a"}})
 		time.Sleep(time.Second)
--- a/owner/dispatch_test.go
+++ b/owner/dispatch_test.go
@@ -33,7 +33,7 @@
 	p := &dividedPool{t: t, store: newStore(), workers: &fakeWorkers{}}
 	testClock := newClock()
 	p.owner = startOwner(t, owner.Config{
-		Lease: claimLease(t, p.store.table(), testClock, "m0"), Former: rowstore.HolderReleased, CPUCores: 0.02, Table: p.store.table(), Clock: testClock,
+		Lease: claimLease(t, p.store.table(), testClock, "m0"), CPUCores: 0.02, Table: p.store.table(), Clock: testClock,
 		Calls: p.workers.calls(), Policy: func(fleet.QueueID) (schedule.Policy, bool) { return schedule.Policy{Attempts: 3}, true },
 	})
 	var listed []owner.ListedWorker
--- a/owner/evacuate_test.go
+++ b/owner/evacuate_test.go
@@ -17,7 +17,6 @@
 	"citronknot/fleet"
 	"citronknot/job"
 	"citronknot/owner"
-	"citronknot/rowstore"
 	"citronknot/schedule"
 )
 
@@ -62,7 +61,7 @@
 	base := newClock()
 	p.clock = clock.Clock{NowFunc: base.NowFunc, BootFunc: func() clock.Millis { return base.Now() + clock.Millis(p.suspended.Load()) }}
 	p.owner = startOwner(t, owner.Config{
-		Lease: claimLease(t, store.table(), p.clock, "m0"), Former: rowstore.HolderReleased, Table: store.table(), Clock: p.clock,
+		Lease: claimLease(t, store.table(), p.clock, "m0"), Table: store.table(), Clock: p.clock,
 		Calls: p.workers.calls(), Log: slog.New(slog.NewTextHandler(&p.log, nil)),
 		Policy: func(fleet.QueueID) (schedule.Policy, bool) { return schedule.Policy{Attempts: 3}, true },
 		MayStart: func(zone fleet.ZoneID) bool {
--- a/owner/harness_test.go
+++ b/owner/harness_test.go
@@ -42,6 +42,21 @@
 	return lease
 }
 
+// takeOverLease returns the owner lease of pool p, which the member has claimed after another one has not
+// renewed it.
+func takeOverLease(t *testing.T, store *fakeStore, c clock.Clock, self fleet.MemberID) *rowstore.OwnerLease {
+	claimLease(t, store.table(), c, "former")
+	lease := &rowstore.OwnerLease{Table: store.table(), Clock: c, Partition: "p", Self: self, Address: string(self) + ":1"}
+	must.NoError(t, lease.Observe(store.leaseRow()))
+	for !lease.Vacant() {
+		time.Sleep(100 * time.Millisecond)
+	}
+	claimed, err := lease.Claim(t.Context())
+	must.NoError(t, err)
+	must.True(t, claimed)
+	return lease
+}
+
 // startOwner runs the owner of pool p. Fields of the configuration that are not set get values that suffice for
 // most tests; Table is required.
 func startOwner(t *testing.T, c owner.Config) *runningOwner {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -22,9 +22,8 @@
 // Config holds the settings and dependencies of an Owner.
 type Config struct {
 	Pool                fleet.PoolID
-	Lease               *rowstore.OwnerLease  // the pool's owner lease, which this member holds
-	Former              rowstore.FormerHolder // what is known of the former holder of the lease
-	CPUCores            float64               // of this member; 0 if unknown
+	Lease               *rowstore.OwnerLease // the pool's owner lease, which this member holds
+	CPUCores            float64              // of this member; 0 if unknown
 	Table               *rowstore.Table
 	Calls               worker.Calls
 	Clock               clock.Clock
@@ -84,7 +83,7 @@
 	knownRows         int                       // rows of known workers that the store may have
 	unconfirmed       map[fleet.InstanceID]bool // known at the takeover, and no response since
 	endedIncarnations map[fleet.InstanceID]endedIncarnation
-	formerLeasesEnd   clock.Millis // when all leases given by the former owner have expired
+	formerLeasesEnd   clock.Millis // when all leases given by earlier owners have expired
 	stopped           bool
 
 	unreadable    map[job.ID]bool        // jobs with rows that can't be decoded
@@ -129,8 +128,8 @@
 	return o
 }
 
-// formerLeaseLimit is the longest time for which a worker lease can last after the former owner's
-// last order.
+// formerLeaseLimit is the longest time for which a worker lease can last after the last order of an
+// earlier owner.
 var formerLeaseLimit = worker.MaxElapsed(worker.LeaseLength) + formerLeaseSlack
 
 // formerLeaseSlack covers the time between the reading of a worker's clock and the arrival of
--- a/owner/recovery_test.go
+++ b/owner/recovery_test.go
@@ -69,6 +69,13 @@
 	return out, nil
 }
 
+// leaseRow returns the row of the owner lease.
+func (s *fakeStore) leaseRow() rowstore.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[rowstore.Ref{Table: rowstore.OwnerLeaseTable, Partition: "p", Key: "holder"}]
+}
+
 func (s *fakeStore) put(table, key string, value []byte) {
 	s.version++
 	ref := rowstore.Ref{Table: table, Partition: "p", Key: key}
@@ -132,7 +139,9 @@
 			store.put("jobs", string(submitted.ID), encoded)
 			store.put("workers", "known", []byte(`{"w0":{"born_ms":1,"address":"a"}}`))
 			workers := &fakeWorkers{}
-			poolOwner := startOwner(t, owner.Config{Table: store.table(), Calls: workers.calls()})
+			ownerClock := newClock()
+			lease := takeOverLease(t, store, ownerClock, "m")
+			poolOwner := startOwner(t, owner.Config{Table: store.table(), Clock: ownerClock, Lease: lease, Calls: workers.calls()})
 			time.Sleep(900 * time.Millisecond)
 			poolOwner.SetWorkers([]owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: 1, Capacity: job.Resources{CPU: 10, Memory: 10}}, Address: "b"}})
 			time.Sleep(4 * time.Second)
@@ -146,3 +155,33 @@
 		})
 	}
 }
+
+// Guards against tasks that run twice after an owner was stopped during its recovery: its successor must wait
+// for the orders of their predecessor, whose authority goes on, and for the leases that these extend.
+func TestOwnerStoppedDuringRecoveryLeavesItsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		submitted := &job.Job{ID: "00000000000000aa", Queue: "q", Steps: []job.Step{{Count: 1, Needs: job.Resources{CPU: 1}}}}
+		encoded, err := submitted.Encode()
+		must.NoError(t, err)
+		store.put("jobs", string(submitted.ID), encoded)
+		store.put("workers", "known", []byte(`{"w0":{"born_ms":1,"address":"a"}}`))
+		workers := &fakeWorkers{}
+		ownerClock := newClock()
+		stopped := takeOverLease(t, store, ownerClock, "m")
+		must.True(t, errors.Is(startOwner(t, owner.Config{Table: store.table(), Clock: ownerClock, Lease: stopped}).stop(), context.Canceled))
+		must.NoError(t, stopped.Release(t.Context()))
+		next := &rowstore.OwnerLease{Table: store.table(), Clock: ownerClock, Partition: "p", Self: "n", Address: "n:1"}
+		must.NoError(t, next.Observe(store.leaseRow()))
+		claimed, err := next.Claim(t.Context())
+		must.NoError(t, err)
+		must.True(t, claimed)
+		poolOwner := startOwner(t, owner.Config{Table: store.table(), Clock: ownerClock, Lease: next, Calls: workers.calls()})
+		poolOwner.SetWorkers([]owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: 1, Capacity: job.Resources{CPU: 10, Memory: 10}}, Address: "b"}})
+		time.Sleep(9 * time.Second)
+		early := workers.started()
+		time.Sleep(3 * time.Second)
+		must.True(t, errors.Is(poolOwner.stop(), context.Canceled))
+		must.Eq(t, []int{0, 1}, []int{early, workers.started()})
+	})
+}
--- a/owner/refusals_test.go
+++ b/owner/refusals_test.go
@@ -18,7 +18,6 @@
 	"citronknot/fleet"
 	"citronknot/job"
 	"citronknot/owner"
-	"citronknot/rowstore"
 	"citronknot/schedule"
 )
 
@@ -30,7 +29,7 @@
 		var log bytes.Buffer
 		metrics := owner.NewMetrics()
 		poolOwner := startOwner(t, owner.Config{
-			Table: store.table(), Former: rowstore.HolderReleased, Log: slog.New(slog.NewTextHandler(&log, nil)), Metrics: metrics, FinalStateRetention: 60_000,
+			Table: store.table(), Log: slog.New(slog.NewTextHandler(&log, nil)), Metrics: metrics, FinalStateRetention: 60_000,
 			Policy:    func(fleet.QueueID) (schedule.Policy, bool) { return schedule.Policy{Attempts: 1, Stretch: 1.5}, true },
 			MayRefuse: func(team fleet.TeamID, _ clock.Millis) bool { return team == "alpha" },
 		})
--- a/owner/report_test.go
+++ b/owner/report_test.go
@@ -12,7 +12,6 @@
 	"citronknot/fleet"
 	"citronknot/job"
 	"citronknot/owner"
-	"citronknot/rowstore"
 	"citronknot/schedule"
 )
 
@@ -21,7 +20,7 @@
 func TestOwnerThatMayBeReplacedReportsNoWorkerAsDrained(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newStore()
-		poolOwner := startOwner(t, owner.Config{Table: store.table(), Former: rowstore.HolderReleased})
+		poolOwner := startOwner(t, owner.Config{Table: store.table()})
 		poolOwner.SetWorkers([]owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: 1, Capacity: job.Resources{CPU: 10}}, Address: "a"}})
 		time.Sleep(time.Second)
 		poolOwner.Direct(owner.Direction{Cordon: []fleet.InstanceID{"w1"}})
--- a/owner/sessions.go
+++ b/owner/sessions.go
@@ -6,7 +6,6 @@
 	"citronknot/clock"
 	"citronknot/dispatcher"
 	"citronknot/fleet"
-	"citronknot/rowstore"
 	"citronknot/schedule"
 	"citronknot/worker"
 )
@@ -86,20 +85,8 @@
 	o.wg.Go(func() { own.Run(ctx) })
 }
 
-// formerLeases returns the longest time from now for which leases can last that the former owner, or
+// formerLeases returns the longest time from now for which leases can last that an earlier owner, or
 // a session of this owner that has ended, gave to a worker's runs.
 func (o *Owner) formerLeases(now clock.Millis) clock.Millis {
 	return max(formerLeaseLimit, o.formerLeasesEnd-now)
 }
-
-// formerOrders returns the longest time for which orders of a former owner may still be sent after
-// another member took the pool over.
-func formerOrders(former rowstore.FormerHolder) clock.Millis {
-	switch former {
-	case rowstore.HolderReleased:
-		return 0
-	case rowstore.HolderEnded:
-		return dispatcher.GrantLength // its dispatchers outlive it
-	}
-	return rowstore.OwnerLeaseAuthority - rowstore.OwnerLeaseTerm
-}
--- a/owner/unused_workers_test.go
+++ b/owner/unused_workers_test.go
@@ -89,7 +89,7 @@
 			}
 			return list
 		}
-		former := startOwner(t, owner.Config{Table: table, Former: rowstore.HolderReleased})
+		former := startOwner(t, owner.Config{Table: table})
 		former.SetWorkers(workersOf(1100))
 		time.Sleep(2 * time.Second)
 		must.True(t, former.lease.Exclusive(), must.Sprint("the commit of the known workers succeeds"))
@@ -101,7 +101,7 @@
 		claimed, err := lease.Claim(t.Context())
 		must.NoError(t, err)
 		must.True(t, claimed)
-		next := startOwner(t, owner.Config{Table: table, Lease: lease, Clock: lease.Clock, Former: rowstore.HolderReleased})
+		next := startOwner(t, owner.Config{Table: table, Lease: lease, Clock: lease.Clock})
 		must.Eq(t, 1100, next.Dump().KnownWorkers)
 		must.True(t, errors.Is(next.stop(), context.Canceled))
 	})
--- a/owner/workers_test.go
+++ b/owner/workers_test.go
@@ -14,7 +14,6 @@
 	"citronknot/clock"
 	"citronknot/job"
 	"citronknot/owner"
-	"citronknot/rowstore"
 	"citronknot/schedule"
 	"citronknot/worker"
 )
@@ -31,7 +30,7 @@
 			time.Sleep(time.Millisecond)
 			return worker.PollResponse{Reply: worker.Reply{Result: worker.OtherIncarnation, Clock: 1}}, nil
 		}
-		poolOwner := startOwner(t, owner.Config{Table: newStore().table(), Former: rowstore.HolderReleased, Calls: calls})
+		poolOwner := startOwner(t, owner.Config{Table: newStore().table(), Calls: calls})
 		list := func(incarnation clock.Millis) []owner.ListedWorker {
 			return []owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: incarnation, Capacity: job.Resources{CPU: 10}}, Address: "a"}}
 		}
--- a/rowstore/owner_lease.go
+++ b/rowstore/owner_lease.go
@@ -54,6 +54,9 @@
 	// LowCPU says that this member has little CPU and would hand the partition over to a member
 	// that has more.
 	LowCPU bool
+	// DelegatedOrders is the longest time for which members that the holder authorized may send orders
+	// after the holder's process has ended.
+	DelegatedOrders clock.Millis
 	// OnFailure is called with the error of each attempt of a commit that did not succeed. It may be nil.
 	OnFailure func(err error)
 
@@ -61,9 +64,11 @@
 	rowRead     bool
 	version     fleet.Version
 	row         wireOwnerLease
-	versionRead clock.Mark // when version was first read
+	versionSeen clock.Mark // when version was first read or written
+	expiryFrom  clock.Mark // when the wait for the lease's expiry began: versionSeen, or later; see RestartExpiry
 	held        bool
 	commitSent  clock.Mark // taken just before the last successful commit was sent
+	formerEnd   clock.Mark // while held: when all earlier holders have ceased to send orders; see FormerOrders
 	wanted      int        // see WantDispatchers
 }
 
@@ -74,6 +79,22 @@
 	Attempt string `json:"attempt"`
 	Weak    bool   `json:"weak,omitempty"`
 	Wanted  int    `json:"dispatchers_wanted,omitempty"`
+	// FormerOrders is the longest time in milliseconds, from when the row was written, for which holders
+	// before Holder may send orders. Rows of earlier versions lack it.
+	FormerOrders *int64 `json:"former_orders_ms,omitempty"`
+}
+
+// unknownFormerOrders replaces wireOwnerLease.FormerOrders in a row of an earlier version: its holder had
+// claimed the partition at least OwnerLeaseTerm after the last commit of the one before.
+const unknownFormerOrders = OwnerLeaseAuthority - OwnerLeaseTerm
+
+// formerOrders returns the longest time, from when the row was written, for which holders before
+// r.Holder may send orders.
+func (r *wireOwnerLease) formerOrders() clock.Millis {
+	if r.FormerOrders == nil {
+		return unknownFormerOrders
+	}
+	return clock.Millis(*r.FormerOrders)
 }
 
 // Holder describes the holder of an owner lease, as its row was last read.
@@ -104,19 +125,26 @@
 	if l.rowRead && r.Version <= l.version {
 		return nil
 	}
-	l.rowRead, l.version, l.row, l.versionRead = true, r.Version, lease, l.Clock.Mark()
+	l.rowRead = true
+	l.setRow(r.Version, lease)
 	if l.held && lease.Holder != string(l.Self) {
 		l.held = false
 	}
 	return nil
 }
 
+// setRow records a version of the row that was just read or written. The caller holds l.mu.
+func (l *OwnerLease) setRow(version fleet.Version, row wireOwnerLease) {
+	l.version, l.row, l.versionSeen = version, row, l.Clock.Mark()
+	l.expiryFrom = l.versionSeen
+}
+
 // RestartExpiry restarts the wait for the lease's expiry after a time in which the rows could not
 // be read. That time does not count, because the holder may have been unable to write as well.
 func (l *OwnerLease) RestartExpiry() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.versionRead = l.Clock.Mark()
+	l.expiryFrom = l.Clock.Mark()
 }
 
 // Holder returns the holder as the row was last read.
@@ -126,34 +154,57 @@
 	return Holder{Member: fleet.MemberID(l.row.Holder), Address: l.row.Address, Fence: l.row.Fence, LowCPU: l.row.Weak, DispatchersWanted: l.row.Wanted}
 }
 
-// FormerHolder is what is known of the former holder of a vacant partition.
-type FormerHolder uint8
-
-// The kinds of former holders.
-const (
-	HolderExpired  FormerHolder = iota // it has not renewed the lease, and may be sending orders
-	HolderEnded                        // its process has ended, but members that it authorized may be sending orders
-	HolderReleased                     // it has released the partition, or there was none: nobody sends orders
-)
-
-// String returns the name of the kind in log lines.
-func (f FormerHolder) String() string { return [...]string{"expired", "ended", "released"}[f] }
-
-// Vacant reports whether this member may claim the partition, and what is known of the former
-// holder.
-func (l *OwnerLease) Vacant() (vacant bool, former FormerHolder) {
+// Vacant reports whether this member may claim the partition.
+func (l *OwnerLease) Vacant() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case !l.rowRead || l.held:
-		return false, HolderExpired
-	case l.row.Holder == "":
-		return true, HolderReleased
-	case l.row.Holder == string(l.Self) && l.row.Address == l.Address:
-		// Written by an earlier process at this address, which has ended.
-		return true, HolderEnded
+		return false
+	case l.row.Holder == "" || l.isOwnRow():
+		return true
+	}
+	return l.Clock.MinElapsed(l.expiryFrom) >= OwnerLeaseTerm+ownerLeaseDrift
+}
+
+// isOwnRow reports whether the row names this member as the holder. If the lease is not held, an earlier
+// process at this address has written it, which has ended, or this one before it lost the lease.
+func (l *OwnerLease) isOwnRow() bool {
+	return l.row.Holder == string(l.Self) && l.row.Address == l.Address
+}
+
+// ordersLeft returns the longest time for which the holder of the row and those before it may still send
+// orders if they don't write the row any more. If it is negative, they ceased that long ago. The
+// caller holds l.mu.
+func (l *OwnerLease) ordersLeft() clock.Millis {
+	if l.version == 0 {
+		return 0 // there was no holder yet
+	}
+	elapsed := l.Clock.MinElapsed(l.versionSeen)
+	former := l.row.formerOrders() - elapsed
+	if l.row.Holder == "" {
+		return former
 	}
-	return l.Clock.MinElapsed(l.versionRead) >= OwnerLeaseTerm+ownerLeaseDrift, HolderExpired
+	authority := OwnerLeaseAuthority - OwnerLeaseTerm // Vacant has waited for the term
+	if l.isOwnRow() {
+		authority = min(authority, l.DelegatedOrders)
+	}
+	return max(former, authority)
+}
+
+// FormerOrders returns the longest time for which earlier holders may still send orders, while this member
+// holds the lease. If it is negative, they ceased that long ago.
+func (l *OwnerLease) FormerOrders() clock.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return -l.Clock.MinElapsed(l.formerEnd)
+}
+
+// formerOrdersField returns the value of wireOwnerLease.FormerOrders for a row that the holder is about to
+// write. The caller holds l.mu.
+func (l *OwnerLease) formerOrdersField() *int64 {
+	left := max(0, -int64(l.Clock.MinElapsed(l.formerEnd)))
+	return &left
 }
 
 // Claim tries to acquire the owner lease. ok is false if another member acquired it first. It
@@ -161,8 +212,12 @@
 func (l *OwnerLease) Claim(ctx context.Context) (ok bool, err error) {
 	l.mu.Lock()
 	check := Check{Ref: l.ref(), Version: l.version}
-	next := wireOwnerLease{Holder: string(l.Self), Address: l.Address, Fence: l.row.Fence + 1, Attempt: newAttemptID(), Weak: l.LowCPU}
 	sent := l.Clock.Mark()
+	l.formerEnd = sent.Before(-l.ordersLeft())
+	next := wireOwnerLease{
+		Holder: string(l.Self), Address: l.Address, Fence: l.row.Fence + 1, Attempt: newAttemptID(), Weak: l.LowCPU,
+		FormerOrders: l.formerOrdersField(),
+	}
 	l.mu.Unlock()
 	value, err := json.Marshal(next)
 	if err != nil {
@@ -182,7 +237,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.rowRead, l.version, l.row, l.versionRead = true, versions[0], next, l.Clock.Mark()
+	l.setRow(versions[0], next)
 	l.held, l.commitSent, l.wanted = true, sent, 0
 	return true, nil
 }
@@ -229,7 +284,7 @@
 		return false, &LeaseLostError{Partition: l.Partition, Holder: holder}
 	}
 	next := l.row
-	next.Attempt, next.Wanted = attempt, l.wanted
+	next.Attempt, next.Wanted, next.FormerOrders = attempt, l.wanted, l.formerOrdersField()
 	check := Check{Ref: l.ref(), Version: l.version}
 	sent := l.Clock.Mark()
 	l.mu.Unlock()
@@ -265,12 +320,13 @@
 		return true, nil
 	case row.Holder == next.Holder && row.Fence == next.Fence:
 		l.mu.Lock()
-		l.version, l.row = version, row
+		l.setRow(version, row)
 		l.mu.Unlock()
 		return false, nil
 	}
 	l.mu.Lock()
-	l.version, l.row, l.versionRead, l.held = version, row, l.Clock.Mark(), false
+	l.setRow(version, row)
+	l.held = false
 	l.mu.Unlock()
 	return false, &LeaseLostError{Partition: l.Partition, Holder: fleet.MemberID(row.Holder)}
 }
@@ -278,8 +334,8 @@
 func (l *OwnerLease) recordCommit(version fleet.Version, row wireOwnerLease, sent clock.Mark) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.version, l.row, l.commitSent = version, row, sent
-	l.versionRead = l.Clock.Mark()
+	l.setRow(version, row)
+	l.commitSent = sent
 }
 
 func (l *OwnerLease) markLost() {
@@ -330,14 +386,14 @@
 	return l.Clock.MaxElapsed(l.commitSent)
 }
 
-// Release gives the lease up, so that another member can acquire it at once. All orders must
-// have ended before the call. It does nothing if the lease is not held. It tries again until the table
+// Release gives the lease up, so that another member can acquire it at once. All orders of this holder
+// must have ended before the call; the row goes on saying how long those of earlier holders may come. It does nothing if the lease is not held. It tries again until the table
 // service responds or ctx ends, and fails with *ConflictError or *UnavailableError.
 func (l *OwnerLease) Release(ctx context.Context) error {
 	l.mu.Lock()
 	held, version := l.held, l.version
 	l.held = false
-	next := wireOwnerLease{Fence: l.row.Fence, Attempt: newAttemptID()}
+	next := wireOwnerLease{Fence: l.row.Fence, Attempt: newAttemptID(), FormerOrders: l.formerOrdersField()}
 	l.mu.Unlock()
 	if !held {
 		return nil
--- a/rowstore/owner_lease_test.go
+++ b/rowstore/owner_lease_test.go
@@ -161,15 +161,13 @@
 	a, b := newMember(s, "a", &now), newMember(s, "b", &now)
 	claimPartition(t, a, s)
 	must.NoError(t, b.Observe(leaseRow(s)))
-	vacant, _ := b.Vacant()
-	must.False(t, vacant)
+	must.False(t, b.Vacant())
 	now += rowstore.OwnerLeaseTerm + 300
 	must.False(t, a.Exclusive(), must.Sprint("Certain must end before another member can take over"))
 	must.True(t, a.Authorized(), must.Sprint("a holder that can't write may still send orders"))
-	vacant, former := b.Vacant()
-	must.True(t, vacant)
-	must.Eq(t, rowstore.HolderExpired, former)
+	must.True(t, b.Vacant())
 	claimPartition(t, b, s)
+	must.GreaterEq(t, rowstore.OwnerLeaseAuthority-rowstore.OwnerLeaseTerm-300, b.FormerOrders())
 	must.Greater(t, a.Fence(), b.Fence())
 	var leaseLost *rowstore.LeaseLostError
 	must.True(t, errors.As(a.Commit(t.Context(), jobWrite("j")), &leaseLost))
@@ -187,8 +185,7 @@
 	must.NoError(t, b.Observe(leaseRow(s)))
 	now += rowstore.OwnerLeaseTerm + 300
 	b.RestartExpiry()
-	vacant, _ := b.Vacant()
-	must.False(t, vacant)
+	must.False(t, b.Vacant())
 }
 
 // Guards against members that wait for the whole term after a planned stop. The stop cancelled a
@@ -209,9 +206,9 @@
 	s.loseResponses = false
 	must.NoError(t, a.Release(t.Context()))
 	must.NoError(t, b.Observe(leaseRow(s)))
-	vacant, former := b.Vacant()
-	must.True(t, vacant)
-	must.Eq(t, rowstore.HolderReleased, former)
+	must.True(t, b.Vacant())
+	claimPartition(t, b, s)
+	must.Eq(t, 0, b.FormerOrders())
 }
 
 // Guards against members that wait for the whole term after a planned stop, and against a new
@@ -224,11 +221,10 @@
 	must.NoError(t, a.Release(t.Context()))
 	must.False(t, a.Authorized())
 	must.NoError(t, b.Observe(leaseRow(s)))
-	vacant, former := b.Vacant()
-	must.True(t, vacant)
-	must.Eq(t, rowstore.HolderReleased, former)
+	must.True(t, b.Vacant())
 	claimPartition(t, b, s)
 	must.Eq(t, 2, b.Fence())
+	must.Eq(t, 0, b.FormerOrders())
 }
 
 // Guards against a holder that sends orders after its authority has ended because its monotonic
@@ -260,11 +256,9 @@
 		wall += jump
 		must.True(t, a.Authorized(), must.Sprint(jump))
 		must.True(t, a.Exclusive(), must.Sprint(jump))
-		vacant, _ := b.Vacant()
-		must.False(t, vacant, must.Sprint(jump))
+		must.False(t, b.Vacant(), must.Sprint(jump))
 		now += rowstore.OwnerLeaseTerm + 300
-		vacant, _ = b.Vacant()
-		must.True(t, vacant, must.Sprint(jump))
+		must.True(t, b.Vacant(), must.Sprint(jump))
 	}
 }
 
