rowstore: count a renewal from when its commit was first sent

A commit that takes effect when it is first sent, and whose response is lost, is found in the row when it is sent again. It counted as a renewal from the second sending, although other members may have read the row since the first. The holder's exclusive term and its authority then outlasted what a successor waits for, by up to a timeout of a call: both could send orders.

The renewal counts from the first sending. TestRenewalCountsFromTheFirstSending fails with the former rule put back: 0 ms since the commit in place of 1500.

--- a/rowstore/former_orders_test.go
+++ b/rowstore/former_orders_test.go
@@ -1,6 +1,7 @@
 package rowstore_test
 
 import (
+	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"testing"
@@ -169,3 +170,36 @@
 		}
 	}
 }
+
+// Guards against a holder that sends orders after its successor takes its authority for ended: a commit
+// took effect when it was first sent and its response was lost, and its renewal counted from the second sending.
+func TestRenewalCountsFromTheFirstSending(t *testing.T) {
+	var now clock.Millis
+	store := &fakeStore{}
+	table := store.table()
+	transact := table.Transact
+	sendings := 0
+	table.Transact = func(ctx context.Context, tx rowstore.Transaction) ([]fleet.Version, error) {
+		sendings++
+		if sendings == 2 {
+			now += 1500 // the timeout of the first sending
+		}
+		return transact(ctx, tx)
+	}
+	a, b := newMember(store, "a", &now), newMember(store, "b", &now)
+	claimPartition(t, a, store)
+	a.Table = table
+	a.OnFailure = func(error) { store.loseResponses = false }
+	now += rowstore.OwnerLeaseRenewInterval
+	committed := now
+	store.loseResponses = true
+	must.NoError(t, a.Commit(t.Context(), nil))
+	must.Eq(t, 2, sendings)
+	must.Eq(t, now-committed, a.SinceCommit())
+
+	now = committed
+	must.NoError(t, b.Observe(leaseRow(store)))
+	expire(&now)
+	must.True(t, b.Vacant())
+	must.False(t, a.Exclusive())
+}
--- a/rowstore/owner_lease.go
+++ b/rowstore/owner_lease.go
@@ -258,7 +258,7 @@
 // Otherwise it fails only when ctx ends.
 func (l *OwnerLease) Commit(ctx context.Context, writes []Write) error {
 	pause := commitRetryMin
-	attempt := newAttemptID()
+	attempt := commitAttempt{id: newAttemptID(), firstSent: l.Clock.Mark()}
 	for {
 		done, err := l.commitOnce(ctx, writes, attempt)
 		switch {
@@ -275,8 +275,14 @@
 	}
 }
 
+// commitAttempt identifies a commit, which may be sent several times.
+type commitAttempt struct {
+	id        string
+	firstSent clock.Mark // taken just before it was first sent
+}
+
 // commitOnce sends a commit once. done is false if it has to be sent again.
-func (l *OwnerLease) commitOnce(ctx context.Context, writes []Write, attempt string) (done bool, err error) {
+func (l *OwnerLease) commitOnce(ctx context.Context, writes []Write, attempt commitAttempt) (done bool, err error) {
 	l.mu.Lock()
 	if !l.held {
 		holder := fleet.MemberID(l.row.Holder)
@@ -284,7 +290,7 @@
 		return false, &LeaseLostError{Partition: l.Partition, Holder: holder}
 	}
 	next := l.row
-	next.Attempt, next.Wanted, next.FormerOrders = attempt, l.wanted, l.formerOrdersField()
+	next.Attempt, next.Wanted, next.FormerOrders = attempt.id, l.wanted, l.formerOrdersField()
 	check := Check{Ref: l.ref(), Version: l.version}
 	sent := l.Clock.Mark()
 	l.mu.Unlock()
@@ -300,7 +306,7 @@
 		l.recordCommit(versions[0], next, sent)
 		return true, nil
 	case errors.As(err, &conflict):
-		return l.resolveConflict(conflict, next, sent)
+		return l.resolveConflict(conflict, next, attempt)
 	}
 	if l.OnFailure != nil {
 		l.OnFailure(err)
@@ -309,14 +315,15 @@
 }
 
 // resolveConflict handles a commit that failed with a conflict: an earlier attempt of the same
-// commit may have taken effect.
-func (l *OwnerLease) resolveConflict(e *ConflictError, next wireOwnerLease, sent clock.Mark) (done bool, err error) {
+// commit may have taken effect. The renewal then counts from when the commit was first sent, because other
+// members may have read the row since.
+func (l *OwnerLease) resolveConflict(e *ConflictError, next wireOwnerLease, attempt commitAttempt) (done bool, err error) {
 	version, row, found := l.conflictingRow(e)
 	switch {
 	case !found:
 		return false, nil
 	case row.Attempt == next.Attempt:
-		l.recordCommit(version, next, sent)
+		l.recordCommit(version, next, attempt.firstSent)
 		return true, nil
 	case row.Holder == next.Holder && row.Fence == next.Fence:
 		l.mu.Lock()
