job: store the policy of the queue with the job

Cause: the owner looked the policy up in the configuration that it happened to have, when it added the job and again at a takeover, and took a queue that it did not know for one with a single attempt, for good. The member that had accepted the job knew the policy and did not pass it on.

Change: the accepting member sets job.Policy, which is stored and sent with the job and stays what it was at acceptance. A job that comes without one, from a member of an earlier version, waits until its owner has read the queue. schedule.Policy moves to package job.

--- a/hosted/calls.go
+++ b/hosted/calls.go
@@ -179,9 +179,12 @@
 }
 
 // submitUnlessPresent submits a job to its queue's pool, unless a former pool of the queue already
-// has the job or its owner does not say whether it has. It then returns that pool's answer. arrival is the
-// time at which the call arrived.
+// has the job or its owner does not say whether it has. It then returns that pool's answer. The job gets the
+// policy of its queue here, because the owner may have read another configuration. arrival is the time at
+// which the call arrived.
 func (p *Process) submitUnlessPresent(ctx context.Context, ref jobRef, j *job.Job, arrival time.Time) job.Answer {
+	policy := ref.queue.Policy()
+	j.Policy = &policy
 	if err := p.checkStoredSize(j); err != nil {
 		return job.Answer{Outcome: job.OutcomeInvalid, Detail: err.Error()}
 	}
--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -11,7 +11,6 @@
 	"citronknot/platform"
 	"citronknot/quota"
 	"citronknot/rowstore"
-	"citronknot/schedule"
 )
 
 // dependency is the state of a service or data source that the process needs. Only changes of the
@@ -255,13 +254,12 @@
 	}
 }
 
-// queuePolicy returns the policy of a queue. It returns false if the queue is not in the
-// configuration; the policy is then a single attempt.
-func (p *Process) queuePolicy(id fleet.QueueID) (schedule.Policy, bool) {
+// queuePolicy returns the policy for jobs that a queue accepts now, and false if the queue is not in the
+// configuration that this member has read.
+func (p *Process) queuePolicy(id fleet.QueueID) (job.Policy, bool) {
 	catalog := p.catalog.Load()
 	if catalog == nil || catalog.Queues[id] == nil {
-		return schedule.Policy{Attempts: 1}, false
+		return job.Policy{}, false
 	}
-	queue := catalog.Queues[id]
-	return schedule.Policy{Priority: queue.Priority, Attempts: queue.Attempts, Stretch: queue.Stretch, Slack: queue.Slack, Advised: queue.Advice != nil}, true
+	return catalog.Queues[id].Policy(), true
 }
--- a/hosted/harness_test.go
+++ b/hosted/harness_test.go
@@ -101,14 +101,24 @@
 	return worker
 }
 
+// route is a route of the configuration as operators write it.
+type route map[string]any
+
+var (
+	advisedRoute = route{
+		"name": "advised", "host": "sorting.example", "pathPrefix": "/advised/", "backend": "sorting", "attempts": 3,
+		"advice": map[string]any{"decideMs": 5, "eachMs": 1, "validMs": 2000},
+	}
+	sortRoute = route{"name": "sort", "host": "sorting.example", "pathPrefix": "/sort/", "backend": "sorting", "attempts": 3, "stretch": 1.6, "sloMs": 600}
+)
+
 // configure writes the configuration with the given version to the store.
-func (c *cluster) configure(version int) {
+func (c *cluster) configure(version int) { c.configureRoutes(version, advisedRoute, sortRoute) }
+
+// configureRoutes is configure with other routes.
+func (c *cluster) configureRoutes(version int, routes ...route) {
 	c.store.Put("op", "", "config", map[string]any{
-		"version": version,
-		"routes": []map[string]any{
-			{"name": "advised", "host": "sorting.example", "pathPrefix": "/advised/", "backend": "sorting", "attempts": 3, "advice": map[string]any{"decideMs": 5, "eachMs": 1, "validMs": 2000}},
-			{"name": "sort", "host": "sorting.example", "pathPrefix": "/sort/", "backend": "sorting", "attempts": 3, "stretch": 1.6, "sloMs": 600},
-		},
+		"version": version, "routes": routes,
 		"backends": []map[string]any{{"name": "sorting", "admissionCheck": true}},
 		"tenants":  []map[string]any{{"name": "alpha", "apiKeys": []string{callerKey}, "weight": 1}},
 		"limits":   map[string]any{"maxBodyBytes": 100000},
--- a/job/codec.go
+++ b/job/codec.go
@@ -48,6 +48,8 @@
 	First    int64      `json:"first_ms,omitempty"`
 	Interval int64      `json:"interval_ms,omitempty"`
 	Accepted int64      `json:"accepted_ms,omitempty"`
+
+	Policy *wirePolicy `json:"policy,omitempty"`
 }
 
 // wireProgress is the progress of a job as it is stored.
@@ -84,7 +86,7 @@
 func (j *Job) Encode() ([]byte, error) {
 	w := wireJob{
 		ID: string(j.ID), Queue: string(j.Queue), Team: string(j.Team), Spec: j.Spec, Runs: j.Runs,
-		First: int64(j.First), Interval: int64(j.Interval), Accepted: int64(j.Accepted),
+		First: int64(j.First), Interval: int64(j.Interval), Accepted: int64(j.Accepted), Policy: encodePolicy(j.Policy),
 	}
 	for i := range j.Steps {
 		w.Steps = append(w.Steps, encodeStep(&j.Steps[i]))
@@ -118,7 +120,7 @@
 func (w *wireJob) job() *Job {
 	j := &Job{
 		ID: ID(w.ID), Queue: fleet.QueueID(w.Queue), Team: fleet.TeamID(w.Team), Spec: w.Spec, Runs: w.Runs,
-		First: clock.Millis(w.First), Interval: clock.Millis(w.Interval), Accepted: clock.Millis(w.Accepted),
+		First: clock.Millis(w.First), Interval: clock.Millis(w.Interval), Accepted: clock.Millis(w.Accepted), Policy: decodePolicy(w.Policy),
 	}
 	for _, s := range w.Steps {
 		j.Steps = append(j.Steps, decodeStep(s))
@@ -128,7 +130,7 @@
 
 // DecodeSubmission decodes a job that a team submits to a queue under an id, in the form in which
 // jobs are stored. It fails if the text has an unknown field, so that a misspelled field is not
-// ignored, and with *FieldError if it names another team or has a field that is not accepted.
+// ignored, and with *FieldError if it names another team, a policy, or has a field that is not accepted.
 func DecodeSubmission(text []byte, id ID, queue fleet.QueueID, team fleet.TeamID) (*Job, error) {
 	d := json.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
@@ -139,6 +141,9 @@
 	if w.Team != "" && fleet.TeamID(w.Team) != team {
 		return nil, newFieldError("team", w.Team, "the team of the key")
 	}
+	if w.Policy != nil {
+		return nil, newFieldError("policy", "an object", "no value: the queue sets the policy of its jobs")
+	}
 	j := w.job()
 	j.ID, j.Queue, j.Team, j.Accepted = id, queue, team, 0
 	if err := j.Check(); err != nil {
--- a/job/codec_test.go
+++ b/job/codec_test.go
@@ -1,6 +1,7 @@
 package job_test
 
 import (
+	"errors"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -42,3 +43,20 @@
 	must.NoError(t, err)
 	must.Eq(t, p.Cause, decoded.Cause)
 }
+
+// Guards against a policy that is lost when its job is stored or sent to another member, and against callers
+// who set the policy of their jobs themselves.
+func TestJobIsStoredWithItsPolicy(t *testing.T) {
+	accepted := &job.Job{ID: "00000000000000aa", Queue: "q", Steps: []job.Step{{Count: 1}}}
+	for _, policy := range []*job.Policy{nil, {}, {Priority: 2, Attempts: 4, Stretch: 1.5, Slack: 700, Advised: true}} {
+		accepted.Policy = policy
+		text, err := accepted.Encode()
+		must.NoError(t, err)
+		decoded, err := job.Decode(text)
+		must.NoError(t, err)
+		must.Eq(t, policy, decoded.Policy)
+		_, err = job.DecodeSubmission(text, accepted.ID, accepted.Queue, "")
+		var invalid *job.FieldError
+		must.Eq(t, policy != nil, errors.As(err, &invalid))
+	}
+}
--- a/job/job.go
+++ b/job/job.go
@@ -91,6 +91,7 @@
 	First    clock.Millis // wall time at which occurrence 0 is due
 	Interval clock.Millis // between the due times of successive occurrences
 	Accepted clock.Millis // wall time of acceptance
+	Policy   *Policy      // of the queue at acceptance; nil if an earlier version accepted the job
 }
 
 // Occurrences returns the number of times that the steps are to run.
--- a/machine/drained_test.go
+++ b/machine/drained_test.go
@@ -24,7 +24,7 @@
 func newOwnedPool(platform *fakePlatform, fence uint64, tasks int) *ownedPool {
 	p := &ownedPool{Pool: schedule.New(schedule.Config{Pool: "a"}), platform: platform, fence: fence}
 	step := job.Step{Count: tasks, Needs: job.Resources{CPU: 1000}, LongRunning: true, MaxUnavailable: 1}
-	p.Add(&job.Job{ID: "00000000000000aa", Queue: "q", Steps: []job.Step{step}}, schedule.Policy{}, &job.Progress{}, 0, platform.now)
+	p.Add(&job.Job{ID: "00000000000000aa", Queue: "q", Steps: []job.Step{step}}, job.Policy{}, &job.Progress{}, 0, platform.now)
 	for _, m := range platform.machines {
 		if m.Pool == "a" {
 			p.SetWorker(schedule.Worker{ID: m.Worker, Incarnation: 1, Capacity: m.Capacity}, platform.now)
--- a/machine/turns_test.go
+++ b/machine/turns_test.go
@@ -107,7 +107,7 @@
 }
 
 // turnsPolicy is the policy of all jobs.
-var turnsPolicy = schedule.Policy{Attempts: 3, Stretch: 1.6, Slack: 600}
+var turnsPolicy = job.Policy{Attempts: 3, Stretch: 1.6, Slack: 600}
 
 // newTurnsReplay returns a tenth of a fleet of 1,100 machines of 64 cores in four pools and the spare pool.
 func newTurnsReplay(t *testing.T, seed uint64) *turnsReplay {
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -144,11 +144,21 @@
 // addJob adds a durable job to the pool. progress is nil for a new job; age is the time since the
 // submission arrived.
 func (o *Owner) addJob(j *job.Job, progress *job.Progress, age, now clock.Millis) {
+	if j.Policy == nil && !o.setPolicy(j) {
+		o.Log.Warn("owner: a job has no policy and its queue is not configured; it gets one attempt", "job", j.ID, "queue", j.Queue)
+		j.Policy = &job.Policy{Attempts: 1}
+	}
+	o.pool.Add(j, *j.Policy, progress, age, now)
+}
+
+// setPolicy gives a job that came without a policy the one that its queue has now, and reports whether this
+// member knows it.
+func (o *Owner) setPolicy(j *job.Job) bool {
 	policy, ok := o.Policy(j.Queue)
-	if !ok {
-		o.Log.Warn("owner: the queue of a job is not configured; the default policy applies", "job", j.ID, "queue", j.Queue)
+	if ok {
+		j.Policy = &policy
 	}
-	o.pool.Add(j, policy, progress, age, now)
+	return ok
 }
 
 // readRows reads all rows of the pool. It retries until that succeeds or the owner lease is lost;
--- a/owner/commit_test.go
+++ b/owner/commit_test.go
@@ -75,7 +75,7 @@
 		w := &endingWorker{failing: "00000000000000aa"}
 		poolOwner := startOwner(t, owner.Config{
 			Table: table, Calls: w.calls(), FinalStateRetention: 60_000, MaxRowBytes: maxRowBytes,
-			Policy: func(fleet.QueueID) (schedule.Policy, bool) { return schedule.Policy{Attempts: 100}, true },
+			Policy: func(fleet.QueueID) (job.Policy, bool) { return job.Policy{Attempts: 100}, true },
 		})
 		ctx := t.Context()
 		poolOwner.SetWorkers([]owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: 1, Capacity: job.Resources{CPU: 1000}}, Address: "a"}})
--- a/owner/dispatch_test.go
+++ b/owner/dispatch_test.go
@@ -34,7 +34,7 @@
 	testClock := newClock()
 	p.owner = startOwner(t, owner.Config{
 		Lease: claimLease(t, p.store.table(), testClock, "m0"), CPUCores: 0.02, Table: p.store.table(), Clock: testClock,
-		Calls: p.workers.calls(), Policy: func(fleet.QueueID) (schedule.Policy, bool) { return schedule.Policy{Attempts: 3}, true },
+		Calls: p.workers.calls(), Policy: func(fleet.QueueID) (job.Policy, bool) { return job.Policy{Attempts: 3}, true },
 	})
 	var listed []owner.ListedWorker
 	for _, id := range []fleet.InstanceID{"w1", "w2"} {
--- a/owner/evacuate_test.go
+++ b/owner/evacuate_test.go
@@ -63,7 +63,7 @@
 	p.owner = startOwner(t, owner.Config{
 		Lease: claimLease(t, store.table(), p.clock, "m0"), Table: store.table(), Clock: p.clock,
 		Calls: p.workers.calls(), Log: slog.New(slog.NewTextHandler(&p.log, nil)),
-		Policy: func(fleet.QueueID) (schedule.Policy, bool) { return schedule.Policy{Attempts: 3}, true },
+		Policy: func(fleet.QueueID) (job.Policy, bool) { return job.Policy{Attempts: 3}, true },
 		MayStart: func(zone fleet.ZoneID) bool {
 			p.mu.Lock()
 			defer p.mu.Unlock()
--- a/owner/harness_test.go
+++ b/owner/harness_test.go
@@ -10,9 +10,9 @@
 
 	"citronknot/clock"
 	"citronknot/fleet"
+	"citronknot/job"
 	"citronknot/owner"
 	"citronknot/rowstore"
-	"citronknot/schedule"
 )
 
 // runningOwner is an owner that runs until the test ends or stops it.
@@ -80,7 +80,7 @@
 		c.FinalStateRetention = 1000
 	}
 	if c.Policy == nil {
-		c.Policy = func(fleet.QueueID) (schedule.Policy, bool) { return schedule.Policy{Attempts: 1}, true }
+		c.Policy = func(fleet.QueueID) (job.Policy, bool) { return job.Policy{Attempts: 1}, true }
 	}
 	o := &runningOwner{Owner: owner.New(c), lease: c.Lease, done: make(chan error, 1)}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -34,8 +34,9 @@
 	PollWait            clock.Millis // longest time that a worker delays its response to a poll; see worker.Config
 	MaxRowBytes         int          // largest value of a row of the table; 0 means DefaultMaxRowBytes
 	FarFactor           float64      // see schedule.Config
-	// Policy returns the policy of a queue, and false if the queue is not configured.
-	Policy func(fleet.QueueID) (schedule.Policy, bool)
+	// Policy returns the policy of a queue, and false if this member has read no configuration with the queue.
+	// It is asked only for jobs that come without their policy, from members of an earlier version.
+	Policy func(fleet.QueueID) (job.Policy, bool)
 	// Advise asks the adviser, an external service, which workers may run a step. It is nil if
 	// no adviser is configured.
 	Advise func(ctx context.Context, step string, workers []fleet.InstanceID) (schedule.Advice, error)
--- a/owner/refusals_test.go
+++ b/owner/refusals_test.go
@@ -30,7 +30,7 @@
 		metrics := owner.NewMetrics()
 		poolOwner := startOwner(t, owner.Config{
 			Table: store.table(), Log: slog.New(slog.NewTextHandler(&log, nil)), Metrics: metrics, FinalStateRetention: 60_000,
-			Policy:    func(fleet.QueueID) (schedule.Policy, bool) { return schedule.Policy{Attempts: 1, Stretch: 1.5}, true },
+			Policy:    func(fleet.QueueID) (job.Policy, bool) { return job.Policy{Attempts: 1, Stretch: 1.5}, true },
 			MayRefuse: func(team fleet.TeamID, _ clock.Millis) bool { return team == "alpha" },
 		})
 		ctx := t.Context()
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -106,8 +106,10 @@
 		o.Metrics.Refusals.WithLabelValues("too_many_waiting").Inc()
 		return nil, &RefusedError{Reason: "too many jobs wait for the store", Final: true, RetryAfter: retryAfterStall}
 	}
-	policy, _ := o.Policy(j.Queue)
-	if r := o.pool.Refuse(j, policy, o.Clock.Now()); r.Refused {
+	if j.Policy == nil && !o.setPolicy(j) {
+		return nil, &RefusedError{Reason: "the owner has not read the configuration of the queue", RetryAfter: retryAfterNoOwner}
+	}
+	if r := o.pool.Refuse(j, *j.Policy, o.Clock.Now()); r.Refused {
 		o.recordRefusal(j, &r)
 		return nil, &RefusedError{Reason: "the pool can't run the job in time", Final: true, RetryAfter: r.RetryAfter}
 	}
@@ -117,7 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
-	o.pool.Expect(j, policy, waited, o.Clock.Now())
+	o.pool.Expect(j, *j.Policy, waited, o.Clock.Now())
 	s := &submission{job: j, encoded: encoded, arrivedAt: arrivedAt, done: make(chan struct{})}
 	o.submissions[j.ID] = s
 	o.uncommitted = append(o.uncommitted, s)
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -57,7 +57,7 @@
 
 // testPolicy is the policy of most test jobs: two attempts, and an objective of 1.6 times the
 // critical path plus 600 ms.
-var testPolicy = schedule.Policy{Attempts: 2, Stretch: 1.6, Slack: 600}
+var testPolicy = job.Policy{Attempts: 2, Stretch: 1.6, Slack: 600}
 
 // planAfter advances the clock and returns the pool's orders.
 func (h *harness) planAfter(elapsed clock.Millis) []schedule.Order {
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -8,25 +8,10 @@
 	"citronknot/schedule/runtimes"
 )
 
-// Policy is the policy that a queue applies to its jobs. The objective of a job is the time by
-// which it should end: Stretch times its critical path plus Slack after its acceptance.
-type Policy struct {
-	Priority int          // 0 is served first
-	Attempts int          // failures of one task after which the job fails; 0 means 1
-	Stretch  float64      // factor of the critical path in a job's objective
-	Slack    clock.Millis // constant part of a job's objective
-	Advised  bool         // a step may run only on workers that the adviser names
-}
-
-// objective returns the time from its acceptance within which a job with a critical path should end.
-func (p Policy) objective(path clock.Millis) clock.Millis {
-	return clock.Millis(p.Stretch*float64(path)) + p.Slack
-}
-
 // Job is the scheduling state of a job in the pool.
 type Job struct {
 	*job.Job
-	policy         Policy
+	policy         job.Policy
 	progress       job.Progress
 	state          job.State // as decided; may not be durable yet
 	durableState   job.State // the last decided state that is durable
--- a/schedule/learned_test.go
+++ b/schedule/learned_test.go
@@ -13,7 +13,7 @@
 )
 
 // relaxedPolicy leaves so much slack that no step of a test is close to its latest start.
-var relaxedPolicy = schedule.Policy{Attempts: 2, Stretch: 1.6, Slack: 60_000}
+var relaxedPolicy = job.Policy{Attempts: 2, Stretch: 1.6, Slack: 60_000}
 
 // addTo adds the nth job, of one task of one core in a queue, and returns it.
 func (h *harness) addTo(n int, queue fleet.QueueID, step job.Step) *schedule.Job {
--- a/schedule/near_replay_test.go
+++ b/schedule/near_replay_test.go
@@ -183,11 +183,11 @@
 }
 
 // policy returns the policy of the queues.
-func (l nearLoad) policy() schedule.Policy {
+func (l nearLoad) policy() job.Policy {
 	if l.short {
 		return testPolicy
 	}
-	return schedule.Policy{Attempts: 2, Stretch: 3, Slack: 1500}
+	return job.Policy{Attempts: 2, Stretch: 3, Slack: 1500}
 }
 
 // trueFactor returns how many times as long far runs take.
--- a/schedule/near_test.go
+++ b/schedule/near_test.go
@@ -103,10 +103,10 @@
 		name   string
 		full   clock.Millis // estimate of the task on the near rack
 		step   job.Step
-		policy schedule.Policy
+		policy job.Policy
 	}{
 		{"the near place is free too late", 1900, nearData(1, "a"), relaxedPolicy},
-		{"no slack is left", 900, nearData(1, "a"), schedule.Policy{Stretch: 1, Slack: 800}},
+		{"no slack is left", 900, nearData(1, "a"), job.Policy{Stretch: 1, Slack: 800}},
 		{"no worker is on the rack", 900, nearData(1, "c"), relaxedPolicy},
 		{"the task may run anywhere", 900, newStep(1), relaxedPolicy},
 	} {
@@ -179,7 +179,7 @@
 func TestWaitEndsWithSlack(t *testing.T) {
 	h := newRackHarness(t, "a", "b")
 	h.fillRack(1, "a", 600)
-	h.pool.Add(newJob(2, nearData(1, "a")), schedule.Policy{Stretch: 1, Slack: 900}, nil, 0, h.now)
+	h.pool.Add(newJob(2, nearData(1, "a")), job.Policy{Stretch: 1, Slack: 900}, nil, 0, h.now)
 	begun := h.now
 	var started []schedule.Order
 	for len(started) == 0 {
@@ -328,7 +328,7 @@
 	h := newRackHarness(t, "a", "b")
 	h.observeRuns("q", 20, 1900)
 	h.fillRack(1, "a", 300)
-	h.pool.Add(newJob(2, nearData(1, "a")), schedule.Policy{Stretch: 1.2, Slack: 500}, nil, 0, h.now)
+	h.pool.Add(newJob(2, nearData(1, "a")), job.Policy{Stretch: 1.2, Slack: 500}, nil, 0, h.now)
 	must.Len(t, 0, h.acceptStarts(10))
 	must.Eq(t, 1, h.pool.Dump(h.now).PlaceWaitCount)
 }
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -144,12 +144,12 @@
 // Add adds a job to the pool and returns its state. If the pool has the job already, Add
 // returns the existing state. progress is nil for a new job. Tasks of a recovered job may
 // still run on workers that have not responded. age is the time since the job was accepted.
-func (p *Pool) Add(j *job.Job, policy Policy, progress *job.Progress, age, now clock.Millis) *Job {
+func (p *Pool) Add(j *job.Job, policy job.Policy, progress *job.Progress, age, now clock.Millis) *Job {
 	if old := p.jobs[j.ID]; old != nil {
 		return old
 	}
 	added := &Job{Job: j, policy: policy, state: job.Queued, durableState: job.Queued, acceptedAt: now - age, criticalPath: j.CriticalPath(), runTimes: &p.runTimes}
-	added.objective = added.acceptedAt + policy.objective(added.criticalPath)
+	added.objective = added.acceptedAt + policy.Objective(added.criticalPath)
 	if progress != nil {
 		added.progress, added.recovered = progress.Clone(), true
 		if progress.State != "" {
--- a/schedule/pool_test.go
+++ b/schedule/pool_test.go
@@ -43,7 +43,7 @@
 // Guards against a recovered job without progress whose first failure is not counted.
 func TestRecoveredJobWithoutProgressFails(t *testing.T) {
 	h := newHarness(t, 1)
-	h.pool.Add(newJob(1, newStep(1)), schedule.Policy{Attempts: 1}, &job.Progress{}, 0, 0)
+	h.pool.Add(newJob(1, newStep(1)), job.Policy{Attempts: 1}, &job.Progress{}, 0, 0)
 	o := h.acceptStarts(0)
 	h.reportEnd(o[0], schedule.EndFailed)
 	h.commitChanges()
@@ -213,7 +213,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			h := &harness{t: t, pool: schedule.New(schedule.Config{Pool: "p", RunBase: 1000})}
-			h.pool.Add(newJob(1, newStep(1), newStep(1, 0)), schedule.Policy{Attempts: 3}, &job.Progress{State: job.Running}, 0, 0)
+			h.pool.Add(newJob(1, newStep(1), newStep(1, 0)), job.Policy{Attempts: 3}, &job.Progress{State: job.Running}, 0, 0)
 			h.addWorker("w0", 16000)
 			h.pool.Observe("w0", tc.first, 0)
 			must.Len(t, 0, h.acceptStarts(10))
@@ -236,7 +236,7 @@
 // again and failed a job that had attempts left.
 func TestFailuresAreCountedOnce(t *testing.T) {
 	h := newHarness(t, 1)
-	h.pool.Add(newJob(1, newStep(1)), schedule.Policy{Attempts: 3}, nil, 0, 0)
+	h.pool.Add(newJob(1, newStep(1)), job.Policy{Attempts: 3}, nil, 0, 0)
 	var ends []schedule.EndReport
 	for range 2 {
 		o := h.acceptStarts(10)
@@ -250,7 +250,7 @@
 	must.NoError(t, err)
 
 	next := newHarness(t, 1)
-	next.pool.Add(newJob(1, newStep(1)), schedule.Policy{Attempts: 3}, progress, 0, 0)
+	next.pool.Add(newJob(1, newStep(1)), job.Policy{Attempts: 3}, progress, 0, 0)
 	next.pool.Observe("w0", schedule.Report{Ended: ends}, 0)
 	next.commitChanges()
 	must.NotEq(t, job.Failed, next.jobState(1))
--- a/schedule/refuse.go
+++ b/schedule/refuse.go
@@ -57,12 +57,12 @@
 // as long as other jobs arrive, since these are then served first. Jobs are refused only of teams that are over
 // their share, in a pool without room whose capacity is known. Jobs that are timed, long-running or
 // best-effort are never refused. An accepted job has to be passed to [Pool.Expect].
-func (p *Pool) Refuse(j *job.Job, policy Policy, now clock.Millis) Refusal {
+func (p *Pool) Refuse(j *job.Job, policy job.Policy, now clock.Millis) Refusal {
 	if !p.mayRefuse(j, now) {
 		return Refusal{}
 	}
 	path := j.CriticalPath()
-	r := Refusal{Objective: policy.objective(path), Capacity: p.capacityForEndingTasks(now)}
+	r := Refusal{Objective: policy.Objective(path), Capacity: p.capacityForEndingTasks(now)}
 	horizon := lateBound * r.Objective
 	allowed := func(team fleet.TeamID, work job.Resources) job.Resources {
 		return work.Min(p.allowanceByTeam[team].Scale(int64(horizon)))
@@ -161,12 +161,12 @@
 
 // Expect counts the work of an accepted job that is not added yet, because it is not durable. age is the time
 // since its submission arrived.
-func (p *Pool) Expect(j *job.Job, policy Policy, age, now clock.Millis) {
+func (p *Pool) Expect(j *job.Job, policy job.Policy, age, now clock.Millis) {
 	if j.Runs > 0 || j.LongRunning() || p.expected[j.ID].work != (job.Resources{}) {
 		return
 	}
 	path := j.CriticalPath()
-	e := expectedWork{group: backlogGroup{priority: policy.Priority}, start: now - age + policy.objective(path) - path, work: workOf(j)}
+	e := expectedWork{group: backlogGroup{priority: policy.Priority}, start: now - age + policy.Objective(path) - path, work: workOf(j)}
 	p.expected[j.ID] = e
 	p.backlog.rate.add(e.work, now)
 	p.backlog.add(e.group, e.start, e.work)
--- a/schedule/relieve_replay_test.go
+++ b/schedule/relieve_replay_test.go
@@ -17,7 +17,7 @@
 	*harness
 	slow     bool // runs on a worker over its capacity take longer in proportion
 	relieved bool // stops for relief are carried out
-	policy   schedule.Policy
+	policy   job.Policy
 	rand     *rand.Rand
 	capacity map[fleet.InstanceID]int64
 	runs     map[job.Ref]*replayedRun
@@ -35,7 +35,7 @@
 }
 
 // replayShrunk returns the number of jobs that end within their objective, and of stops for relief.
-func replayShrunk(t *testing.T, policy schedule.Policy, slow, relieved bool, seed uint64) (inTime, stops int) {
+func replayShrunk(t *testing.T, policy job.Policy, slow, relieved bool, seed uint64) (inTime, stops int) {
 	r := &shrunkReplay{
 		harness: newHarness(t, 8), slow: slow, relieved: relieved, policy: policy, rand: rand.New(rand.NewPCG(seed, 5)),
 		capacity: map[fleet.InstanceID]int64{}, runs: map[job.Ref]*replayedRun{}, accepted: map[job.ID]clock.Millis{},
@@ -107,7 +107,7 @@
 func TestReliefPaysIfWorkersAreSlowAndCostsLittleIfNot(t *testing.T) {
 	for _, slow := range []bool{false, true} {
 		allWith, allWithout := 0, 0
-		for _, policy := range []schedule.Policy{{Stretch: 1.2, Slack: 300}, {Stretch: 1.4, Slack: 400}, {Stretch: 1.6, Slack: 600}} {
+		for _, policy := range []job.Policy{{Stretch: 1.2, Slack: 300}, {Stretch: 1.4, Slack: 400}, {Stretch: 1.6, Slack: 600}} {
 			with, without, stops := 0, 0, 0
 			for seed := range uint64(10) {
 				inTime, stopped := replayShrunk(t, policy, slow, true, seed)
