rowstore: let one pool at a time accept the jobs of a queue

Cause: a submission asked only those former pools of its queue that its process had seen in two successive versions. A route that was away in between or had another name left no trace, nor did any in a process started since. And a former pool that was asked could accept the job a moment later, from a member that lags.

Change: rowstore.QueuePools records which pool takes the jobs of a queue, by its address, and which took them before. The pool's owner acquires a permit, each commit that accepts a job checks it, and the next pool revokes it before it accepts any, and looks for each job among those that the former pools have stored. Nothing is accepted while the store doesn't say. The memory of former pools in each process goes.

--- a/fleet/ids.go
+++ b/fleet/ids.go
@@ -10,6 +10,8 @@
 	TeamID string
 	// QueueID names a queue.
 	QueueID string
+	// QueueAddress is where callers reach a queue: the host and the prefix of its paths.
+	QueueAddress string
 	// PoolID names a pool.
 	PoolID string
 	// InstanceID names an instance.
--- a/hosted/calls.go
+++ b/hosted/calls.go
@@ -173,35 +173,29 @@
 	}
 	ctx, cancel := withDeadline(ctx, c.Deadline)
 	defer cancel()
-	answer := p.submitUnlessPresent(ctx, ref, j, start)
+	answer := p.submitToPool(ctx, ref, j, start)
 	p.recordOutcome("submit", ref, answer, start)
 	return answer
 }
 
-// submitUnlessPresent submits a job to its queue's pool, unless a former pool of the queue already
-// has the job or its owner does not say whether it has. It then returns that pool's answer. The job gets the
-// policy of its queue here, because the owner may have read another configuration. arrival is the time at
-// which the call arrived.
-func (p *Process) submitUnlessPresent(ctx context.Context, ref jobRef, j *job.Job, arrival time.Time) job.Answer {
+// submitToPool submits a job to its queue's pool. The job gets the policy of its queue here, because the
+// owner may have read another configuration. arrival is the time at which the call arrived.
+func (p *Process) submitToPool(ctx context.Context, ref jobRef, j *job.Job, arrival time.Time) job.Answer {
 	policy := ref.queue.Policy()
 	j.Policy = &policy
 	if err := p.checkStoredSize(j); err != nil {
 		return job.Answer{Outcome: job.OutcomeInvalid, Detail: err.Error()}
 	}
-	for _, pool := range p.formerPoolsOf(ref) {
-		if answer := p.perform(ctx, p.stateCall(pool, ref.id)); answer.Outcome != job.OutcomeNoSuchJob {
-			return answer
-		}
-	}
+	route := owner.Route{Queue: ref.queue.Address(), Version: ref.configVersion}
 	accepted := job.Answer{Outcome: job.OutcomeDone, State: job.Queued}
 	waited := func() clock.Millis { return clock.Millis(time.Since(arrival).Milliseconds()) }
 	return p.perform(ctx, poolCall{
 		pool: ref.queue.Pool,
 		local: func(ctx context.Context, o *owner.Owner) (job.Answer, error) {
-			return accepted, o.Submit(ctx, j, waited())
+			return accepted, o.Submit(ctx, j, route, waited())
 		},
 		remote: func(ctx context.Context, address string) (job.Answer, error) {
-			return accepted, p.members.submit(ctx, address, ref.queue.Pool, j, waited())
+			return accepted, p.members.submit(ctx, address, ref.queue.Pool, j, route, waited())
 		},
 	})
 }
@@ -225,20 +219,6 @@
 // acceptedTimeBytes is what the time of acceptance adds to the stored job.
 const acceptedTimeBytes = 40
 
-// formerPoolsOf returns the pools that a queue was assigned to before, as far as this member has
-// recorded them.
-func (p *Process) formerPoolsOf(ref jobRef) []fleet.PoolID {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var pools []fleet.PoolID
-	for _, pool := range p.formerPools[ref.queue.ID] {
-		if pool != ref.queue.Pool {
-			pools = append(pools, pool)
-		}
-	}
-	return pools
-}
-
 func (p *Process) stateCall(pool fleet.PoolID, id job.ID) poolCall {
 	return poolCall{
 		pool: pool,
@@ -308,8 +288,7 @@
 }
 
 // otherPools returns the pools other than a queue's own that can have jobs of the queue. These are
-// all pools but the spare one, since a member that started after the queue moved to another pool
-// has not recorded its former pool.
+// all pools but the spare one: a queue may have been in any of them.
 func (p *Process) otherPools(ref jobRef) []fleet.PoolID {
 	var pools []fleet.PoolID
 	for id, pool := range p.catalog.Load().Pools {
--- a/hosted/follow.go
+++ b/hosted/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 
 	"citronknot/dispatcher"
 	"citronknot/fleet"
@@ -73,7 +72,6 @@
 	if old != nil && next.Version <= old.Version {
 		return
 	}
-	p.recordFormerPools(old, next)
 	p.catalog.Store(next)
 	p.Log.Info("hosted: applied a configuration", "version", uint64(next.Version), "row_version", uint64(row.Version),
 		"queues", len(next.Queues), "pools", len(next.Pools), "teams", len(next.Teams), "keys", len(next.Keys))
@@ -94,21 +92,6 @@
 	p.Log.Info("hosted: operator requested a maintenance wave", "wave", wave.Number, "machines", len(wave.Machines), "most_down", wave.MaxDown, "duration_ms", int64(wave.Duration))
 }
 
-// recordFormerPools records the former pool of each queue that the configuration next assigns to
-// another pool. Jobs that the former pool accepted stay there.
-func (p *Process) recordFormerPools(old, next *job.Catalog) {
-	if old == nil {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for id, queue := range next.Queues {
-		if former := old.Queues[id]; former != nil && former.Pool != queue.Pool && !slices.Contains(p.formerPools[id], former.Pool) {
-			p.formerPools[id] = append(p.formerPools[id], former.Pool)
-		}
-	}
-}
-
 // followLeases reads the owner leases until ctx ends. It claims pools without an owner and asks
 // low-CPU owners to hand pools over.
 func (p *Process) followLeases(ctx context.Context) {
--- a/hosted/harness_test.go
+++ b/hosted/harness_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -87,12 +88,15 @@
 	return c
 }
 
-// addWorker starts a worker in a zone.
-func (c *cluster) addWorker(zone string) *deployment.Worker {
+// addWorker starts a worker of pool sorting in a zone.
+func (c *cluster) addWorker(zone string) *deployment.Worker { return c.addWorkerOf("sorting", zone) }
+
+// addWorkerOf starts a worker of a pool in a zone.
+func (c *cluster) addWorkerOf(pool, zone string) *deployment.Worker {
 	c.t.Helper()
 	i := len(c.workers)
 	worker := &deployment.Worker{
-		ID: fmt.Sprintf("w%d", i), Pool: "sorting", Zone: zone, Machine: fmt.Sprintf("m%d", i),
+		ID: fmt.Sprintf("w%d", i), Pool: pool, Zone: zone, Machine: fmt.Sprintf("m%d", i),
 		CPU: 16000, MemMB: 32768, ClockLag: 0.02, Store: &c.store,
 	}
 	must.NoError(c.t, worker.Start())
@@ -115,13 +119,18 @@
 // configure writes the configuration with the given version to the store.
 func (c *cluster) configure(version int) { c.configureRoutes(version, advisedRoute, sortRoute) }
 
-// configureRoutes is configure with other routes.
+// configureRoutes is configure with other routes, and with the pools that these name besides sorting.
 func (c *cluster) configureRoutes(version int, routes ...route) {
+	pools := []map[string]any{{"name": "sorting", "admissionCheck": true}}
+	for _, r := range routes {
+		if !slices.ContainsFunc(pools, func(p map[string]any) bool { return p["name"] == r["backend"] }) {
+			pools = append(pools, map[string]any{"name": r["backend"], "admissionCheck": true})
+		}
+	}
 	c.store.Put("op", "", "config", map[string]any{
-		"version": version, "routes": routes,
-		"backends": []map[string]any{{"name": "sorting", "admissionCheck": true}},
-		"tenants":  []map[string]any{{"name": "alpha", "apiKeys": []string{callerKey}, "weight": 1}},
-		"limits":   map[string]any{"maxBodyBytes": 100000},
+		"version": version, "routes": routes, "backends": pools,
+		"tenants": []map[string]any{{"name": "alpha", "apiKeys": []string{callerKey}, "weight": 1}},
+		"limits":  map[string]any{"maxBodyBytes": 100000},
 	})
 }
 
--- a/hosted/jobs.go
+++ b/hosted/jobs.go
@@ -17,7 +17,7 @@
 		Submit: func(ctx context.Context, c caller.JobCall, j *job.Job) job.Answer {
 			arrival := time.Now()
 			return p.handleCallerCall(ctx, "submit", c, func(ctx context.Context, ref jobRef) job.Answer {
-				return p.submitUnlessPresent(ctx, ref, j, arrival)
+				return p.submitToPool(ctx, ref, j, arrival)
 			})
 		},
 		Cancel: func(ctx context.Context, c caller.JobCall) job.Answer {
--- a/hosted/members.go
+++ b/hosted/members.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -112,12 +113,27 @@
 	if err != nil {
 		return wireResponse{}, &owner.RefusedError{Reason: err.Error(), Final: true}
 	}
-	return wireResponse{}, o.Submit(ctx, j, parseWaited(r.URL.Query().Get(waitedParam)))
+	params := r.URL.Query()
+	return wireResponse{}, o.Submit(ctx, j, parseRoute(params), parseWaited(params.Get(waitedParam)))
 }
 
-// waitedParam is the parameter of a submission between members that says how long the call has been in the
-// system, in milliseconds. Members of earlier versions neither send nor read it.
-const waitedParam = "waited_ms"
+// Parameters of a submission between members: how long the call has been in the system, in milliseconds, the
+// address of the queue, and the version of the configuration that sends its jobs to the pool. Members of
+// earlier versions neither send nor read the last two.
+const (
+	waitedParam  = "waited_ms"
+	queueParam   = "queue_address"
+	versionParam = "config_version"
+)
+
+// parseRoute decodes queueParam and versionParam. The route is unknown unless both are valid.
+func parseRoute(params url.Values) owner.Route {
+	version, err := strconv.ParseUint(params.Get(versionParam), 10, 64)
+	if err != nil {
+		return owner.Route{}
+	}
+	return owner.Route{Queue: fleet.QueueAddress(params.Get(queueParam)), Version: fleet.Version(version)}
+}
 
 // maxWaited is the longest time for which a call is believed to have been in the system. Callers do not wait
 // longer for an answer.
@@ -162,12 +178,15 @@
 }
 
 // submit submits a job at the member that owns its pool. waited is how long the call has been in the system.
-func (m *memberClient) submit(ctx context.Context, address string, pool fleet.PoolID, j *job.Job, waited clock.Millis) error {
+func (m *memberClient) submit(ctx context.Context, address string, pool fleet.PoolID, j *job.Job, route owner.Route, waited clock.Millis) error {
 	body, err := j.Encode()
 	if err != nil {
 		return err
 	}
-	_, err = m.call(ctx, http.MethodPost, fmt.Sprintf("%s/jobs?%s=%d", poolPath(address, pool), waitedParam, waited), body)
+	params := url.Values{
+		waitedParam: {strconv.FormatInt(int64(waited), 10)}, queueParam: {string(route.Queue)}, versionParam: {strconv.FormatUint(uint64(route.Version), 10)},
+	}
+	_, err = m.call(ctx, http.MethodPost, poolPath(address, pool)+"/jobs?"+params.Encode(), body)
 	return err
 }
 
--- a/hosted/process.go
+++ b/hosted/process.go
@@ -85,9 +85,8 @@
 	mu                sync.Mutex
 	ownerLeases       map[fleet.PoolID]*rowstore.OwnerLease
 	owners            map[fleet.PoolID]*ownedPool
-	vacantSince       map[fleet.PoolID]clock.Millis    // when a pool was first observed without an owner
-	lowCPULeases      map[fleet.PoolID]observedLease   // owner leases of low-CPU members
-	formerPools       map[fleet.QueueID][]fleet.PoolID // pools that a queue was assigned to before
+	vacantSince       map[fleet.PoolID]clock.Millis  // when a pool was first observed without an owner
+	lowCPULeases      map[fleet.PoolID]observedLease // owner leases of low-CPU members
 	workers           map[fleet.InstanceID]*platform.Registration
 	workersListed     bool                             // the list of workers was read at least once
 	waves             map[int]configuredWave           // by wave number
@@ -118,8 +117,8 @@
 		members: &memberClient{http: platform.NewHTTPClient(memberConns)}, metrics: newMetrics(config.Dropped),
 		ownerLeases: map[fleet.PoolID]*rowstore.OwnerLease{}, owners: map[fleet.PoolID]*ownedPool{},
 		vacantSince: map[fleet.PoolID]clock.Millis{}, lowCPULeases: map[fleet.PoolID]observedLease{},
-		formerPools: map[fleet.QueueID][]fleet.PoolID{}, workers: map[fleet.InstanceID]*platform.Registration{},
-		waves: map[int]configuredWave{}, relayAvoidedUntil: map[string]clock.Millis{}, dispatchers: map[fleet.PoolID]*poolDispatcher{},
+		workers: map[fleet.InstanceID]*platform.Registration{},
+		waves:   map[int]configuredWave{}, relayAvoidedUntil: map[string]clock.Millis{}, dispatchers: map[fleet.PoolID]*poolDispatcher{},
 	}
 	process.evacuations = &fleet.Evacuations{
 		Clock: config.Clock, OwnZone: settings.Zone, Limit: fleet.ConfirmationLimit(settings.EvacuationTime),
--- a/job/catalog.go
+++ b/job/catalog.go
@@ -24,6 +24,9 @@
 	Advice   *Advice      // nil if any worker may run the steps
 }
 
+// Address returns where callers reach the queue.
+func (q *Queue) Address() fleet.QueueAddress { return fleet.QueueAddress(q.Host + q.Prefix) }
+
 // Advice configures a queue whose steps may run only on workers that the adviser, an external
 // service, permits.
 type Advice struct {
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -183,6 +183,7 @@
 // commitBatch is the content of one commit.
 type commitBatch struct {
 	writes        []rowstore.Write
+	checks        []rowstore.Check // of the permits of the submissions
 	submissions   []*submission
 	changes       []schedule.Change
 	knownWorkers  map[fleet.InstanceID]knownWorker // nil if they have not changed
@@ -198,7 +199,7 @@
 
 // hasRoom reports whether the batch takes another write, if it may have the given number of rows.
 func (b *commitBatch) hasRoom(rows int) bool {
-	return len(b.writes) < rows && b.bytes < maxCommitBytes
+	return len(b.writes)+len(b.checks) < rows && b.bytes < maxCommitBytes
 }
 
 // runCommitter commits changes and renews the owner lease until ctx ends or the lease is lost.
@@ -248,7 +249,7 @@
 	}
 	started := time.Now()
 	if len(batch.writes) > 0 || o.Lease.SinceCommit() >= rowstore.OwnerLeaseRenewInterval {
-		err = o.Lease.Commit(ctx, batch.writes)
+		err = o.writeBatch(ctx, batch)
 	}
 	took := time.Since(started)
 	o.Metrics.CommitTime.Observe(took.Seconds())
@@ -285,8 +286,13 @@
 	for len(o.uncommitted) > 0 && batch.hasRoom(maxCommitRows/2) {
 		s := o.uncommitted[0]
 		o.uncommitted = o.uncommitted[1:]
+		if o.isRevoked(s.permit) {
+			o.refuseMoved(s)
+			continue
+		}
 		s.committing = true
 		batch.submissions = append(batch.submissions, s)
+		batch.addPermit(s.permit)
 		batch.add(rowstore.Write{Ref: o.ref(jobsTable, string(s.job.ID)), Value: s.encoded})
 	}
 	if o.knownWorkersDirty {
--- a/owner/commit_test.go
+++ b/owner/commit_test.go
@@ -82,7 +82,7 @@
 		time.Sleep(time.Second)
 		step := job.Step{Count: 50, Needs: job.Resources{CPU: 10}}
 		for _, id := range []job.ID{"00000000000000aa", "00000000000000bb"} {
-			must.NoError(t, poolOwner.Submit(ctx, &job.Job{ID: id, Queue: "q", Steps: []job.Step{step}}, 0))
+			must.NoError(t, poolOwner.Submit(ctx, &job.Job{ID: id, Queue: "q", Steps: []job.Step{step}}, owner.Route{}, 0))
 		}
 		time.Sleep(20 * time.Second)
 		status, _, err := poolOwner.Status(ctx, "00000000000000aa")
@@ -120,7 +120,7 @@
 		for id, waited := range map[job.ID]clock.Millis{"00000000000000aa": 0, "00000000000000bb": 2500} {
 			synctest.Wait()
 			log.Reset()
-			must.NoError(t, poolOwner.Submit(t.Context(), &job.Job{ID: id, Queue: "q", Steps: []job.Step{step}}, waited))
+			must.NoError(t, poolOwner.Submit(t.Context(), &job.Job{ID: id, Queue: "q", Steps: []job.Step{step}}, owner.Route{}, waited))
 			time.Sleep(time.Second)
 			synctest.Wait()
 			var took int
--- a/owner/dispatch_test.go
+++ b/owner/dispatch_test.go
@@ -83,7 +83,7 @@
 // startTask submits a job of one task and returns its start order.
 func (p *dividedPool) startTask(id job.ID) dispatcher.Order {
 	p.t.Helper()
-	must.NoError(p.t, p.owner.Submit(p.t.Context(), &job.Job{ID: id, Queue: "q", Steps: []job.Step{{Count: 1, Needs: job.Resources{CPU: 1000}}}}, 0))
+	must.NoError(p.t, p.owner.Submit(p.t.Context(), &job.Job{ID: id, Queue: "q", Steps: []job.Step{{Count: 1, Needs: job.Resources{CPU: 1000}}}}, owner.Route{}, 0))
 	for range 10 {
 		if b := p.poll(p.request.Session); len(b.Orders) > 0 {
 			return b.Orders[0]
@@ -99,7 +99,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newDividedPool(t)
 		p.join(dispatcher.SessionID("s1"))
-		must.NoError(t, p.owner.Submit(t.Context(), &job.Job{ID: "00000000000000aa", Queue: "q", Steps: []job.Step{{Count: 2, Needs: job.Resources{CPU: 1000}}}}, 0))
+		must.NoError(t, p.owner.Submit(t.Context(), &job.Job{ID: "00000000000000aa", Queue: "q", Steps: []job.Step{{Count: 2, Needs: job.Resources{CPU: 1000}}}}, owner.Route{}, 0))
 		time.Sleep(5 * time.Millisecond)
 		var listed []owner.ListedWorker
 		for _, id := range []fleet.InstanceID{"w1", "w2"} {
--- a/owner/evacuate_test.go
+++ b/owner/evacuate_test.go
@@ -101,7 +101,7 @@
 
 // submit submits a job of one task.
 func (p *zonedPool) submit(t *testing.T, id job.ID) {
-	must.NoError(t, p.owner.Submit(t.Context(), &job.Job{ID: id, Queue: "q", Steps: []job.Step{{Count: 1, Needs: job.Resources{CPU: 1000}}}}, 0))
+	must.NoError(t, p.owner.Submit(t.Context(), &job.Job{ID: id, Queue: "q", Steps: []job.Step{{Count: 1, Needs: job.Resources{CPU: 1000}}}}, owner.Route{}, 0))
 }
 
 // Guards against an owner that sends a start although its member may not know all evacuations, that gives
--- a/owner/policy_test.go
+++ b/owner/policy_test.go
@@ -61,11 +61,11 @@
 		poolOwner.SetWorkers([]owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: 1, Capacity: job.Resources{CPU: 1000}}, Address: "a"}})
 		submitted := &job.Job{ID: "00000000000000aa", Queue: "new", Steps: []job.Step{{Count: 1, Needs: job.Resources{CPU: 1000}, Estimate: 100}}}
 		var refused *owner.RefusedError
-		must.True(t, errors.As(poolOwner.Submit(t.Context(), submitted, 0), &refused), must.Sprint("a job without a policy waits for the configuration"))
+		must.True(t, errors.As(poolOwner.Submit(t.Context(), submitted, owner.Route{}, 0), &refused), must.Sprint("a job without a policy waits for the configuration"))
 		must.False(t, refused.Final)
 
 		submitted.Policy = &job.Policy{Attempts: 4, Stretch: 2, Slack: 1000}
-		must.NoError(t, poolOwner.Submit(t.Context(), submitted, 0))
+		must.NoError(t, poolOwner.Submit(t.Context(), submitted, owner.Route{}, 0))
 		time.Sleep(10 * time.Second)
 		status, found, err := poolOwner.Status(t.Context(), submitted.ID)
 		must.NoError(t, err)
--- a/owner/recovery_test.go
+++ b/owner/recovery_test.go
@@ -58,7 +58,15 @@
 func (s *fakeStore) read(_ context.Context, q rowstore.Query) ([]rowstore.Row, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.unreachable {
+		return nil, &rowstore.UnavailableError{Op: "read", Err: errors.New("the store is unreachable")}
+	}
 	var out []rowstore.Row
+	for _, ref := range q.Gets {
+		if r, ok := s.rows[ref]; ok {
+			out = append(out, r)
+		}
+	}
 	for _, c := range q.Scans {
 		for ref, r := range s.rows {
 			if ref.Table == c.Table && ref.Partition == c.Partition {
--- a/owner/refusals_test.go
+++ b/owner/refusals_test.go
@@ -38,7 +38,7 @@
 		time.Sleep(3 * time.Second)
 		submit := func(n int, team fleet.TeamID) error {
 			step := job.Step{Count: 1, Needs: job.Resources{CPU: 1000}, Estimate: 1000}
-			return poolOwner.Submit(ctx, &job.Job{ID: job.ID(fmt.Sprintf("%016x", n)), Queue: "q", Team: team, Steps: []job.Step{step}}, 0)
+			return poolOwner.Submit(ctx, &job.Job{ID: job.ID(fmt.Sprintf("%016x", n)), Queue: "q", Team: team, Steps: []job.Step{step}}, owner.Route{}, 0)
 		}
 		for n := range 12 {
 			must.NoError(t, submit(n, "beta"), must.Sprint("only jobs of alpha may be refused"))
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -5,12 +5,22 @@
 	"fmt"
 
 	"citronknot/clock"
+	"citronknot/fleet"
 	"citronknot/job"
+	"citronknot/rowstore"
 )
 
+// Route says how a job was sent to the pool. The zero value stands for a member of an earlier version, which
+// does not say.
+type Route struct {
+	Queue   fleet.QueueAddress
+	Version fleet.Version // of the configuration that sends the queue's jobs to this pool
+}
+
 // submission is a job that is not durable yet.
 type submission struct {
 	job        *job.Job
+	permit     *rowstore.QueuePermit // nil if its route is not known
 	encoded    []byte
 	arrivedAt  clock.Millis  // at the first member that took the call, on the owner's clock
 	committing bool          // part of a commit, so it can no longer be refused
@@ -54,13 +64,24 @@
 	retryAfterNoOwner  = clock.Millis(500)  // while the pool changes its owner
 )
 
-// Submit makes a job durable and adds it to the pool. waited is how long the call has been in the system; the
+// Submit makes a job durable and adds it to the pool, unless a former pool of its queue has it. waited is how long the call has been in the system; the
 // job's objective counts from its arrival there. Submit also returns nil if the job was accepted
 // before. Otherwise it fails with *RefusedError, or with *UnknownError if the job may still be
 // accepted; no other code decides between the two. An error of another type means that the job
 // could not be encoded.
-func (o *Owner) Submit(ctx context.Context, j *job.Job, waited clock.Millis) error {
-	s, err := o.enqueue(j, waited)
+func (o *Owner) Submit(ctx context.Context, j *job.Job, route Route, waited clock.Millis) error {
+	if o.accepted(j.ID) {
+		return nil
+	}
+	permit, err := o.acquireQueue(ctx, route)
+	if err != nil {
+		return err
+	}
+	elsewhere, err := o.inFormerPool(ctx, permit, j.ID)
+	if elsewhere || err != nil {
+		return err
+	}
+	s, err := o.enqueue(j, permit, waited)
 	if s == nil || err != nil {
 		return err
 	}
@@ -77,14 +98,21 @@
 		return nil
 	}
 	if !s.committing {
-		return &RefusedError{Reason: "the pool changes its owner", RetryAfter: retryAfterNoOwner}
+		return &RefusedError{Reason: s.err.Error(), RetryAfter: retryAfterNoOwner}
 	}
 	return &UnknownError{Err: s.err}
 }
 
+// accepted reports whether the pool has a job.
+func (o *Owner) accepted(id job.ID) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.loaded && !o.stopped && (o.pool.Job(id) != nil || o.unreadable[id])
+}
+
 // enqueue queues a job for the next commit. It returns the submission to wait for, or nil if the
 // job is already accepted.
-func (o *Owner) enqueue(j *job.Job, waited clock.Millis) (*submission, error) {
+func (o *Owner) enqueue(j *job.Job, permit *rowstore.QueuePermit, waited clock.Millis) (*submission, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch {
@@ -120,7 +148,7 @@
 		return nil, err
 	}
 	o.pool.Expect(j, *j.Policy, waited, o.Clock.Now())
-	s := &submission{job: j, encoded: encoded, arrivedAt: arrivedAt, done: make(chan struct{})}
+	s := &submission{job: j, permit: permit, encoded: encoded, arrivedAt: arrivedAt, done: make(chan struct{})}
 	o.submissions[j.ID] = s
 	o.uncommitted = append(o.uncommitted, s)
 	return s, nil
--- a/rowstore/errors.go
+++ b/rowstore/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"citronknot/fleet"
 )
@@ -17,6 +18,11 @@
 	return fmt.Sprintf("rowstore: transaction conflict on %v", e.Rows)
 }
 
+// Changed reports whether the row of a check is among the current rows, with another version.
+func (e *ConflictError) Changed(c Check) bool {
+	return slices.ContainsFunc(e.Current, func(r Row) bool { return r.Ref == c.Ref && r.Version != c.Version })
+}
+
 // UnavailableError reports that the platform could not be reached or did not carry out a call.
 type UnavailableError struct {
 	Op             string
--- a/rowstore/owner_lease.go
+++ b/rowstore/owner_lease.go
@@ -252,15 +252,16 @@
 	return e.Current[i].Version, lease, true
 }
 
-// Commit writes rows as the holder of the lease. It repeats the transaction until its outcome is
-// certain. Nil means that the rows are written. *LeaseLostError and *LeaseExpiredError mean that this
-// member does not hold the lease any more, and that the rows may or may not be written.
+// Commit writes rows as the holder of the lease, if checks of other rows of the partition hold. It repeats the
+// transaction until its outcome is certain. Nil means that the rows are written. *ConflictError means that
+// a check does not hold, and that no row is or will be written. *LeaseLostError and *LeaseExpiredError mean that
+// this member does not hold the lease any more, and that the rows may or may not be written.
 // Otherwise it fails only when ctx ends.
-func (l *OwnerLease) Commit(ctx context.Context, writes []Write) error {
+func (l *OwnerLease) Commit(ctx context.Context, writes []Write, checks ...Check) error {
 	pause := commitRetryMin
 	attempt := commitAttempt{id: newAttemptID(), firstSent: l.Clock.Mark()}
 	for {
-		done, err := l.commitOnce(ctx, writes, attempt)
+		done, err := l.commitOnce(ctx, writes, checks, attempt)
 		switch {
 		case done || err != nil:
 			return err
@@ -282,7 +283,7 @@
 }
 
 // commitOnce sends a commit once. done is false if it has to be sent again.
-func (l *OwnerLease) commitOnce(ctx context.Context, writes []Write, attempt commitAttempt) (done bool, err error) {
+func (l *OwnerLease) commitOnce(ctx context.Context, writes []Write, checks []Check, attempt commitAttempt) (done bool, err error) {
 	l.mu.Lock()
 	if !l.held {
 		holder := fleet.MemberID(l.row.Holder)
@@ -298,7 +299,7 @@
 	if err != nil {
 		return false, eris.Wrap(err, "rowstore: encode owner lease")
 	}
-	tx := Transaction{Checks: []Check{check}, Writes: append([]Write{{Ref: l.ref(), Value: value}}, writes...)}
+	tx := Transaction{Checks: append([]Check{check}, checks...), Writes: append([]Write{{Ref: l.ref(), Value: value}}, writes...)}
 	versions, err := l.Table.Transact(ctx, tx)
 	var conflict *ConflictError
 	switch {
@@ -306,6 +307,9 @@
 		l.recordCommit(versions[0], next, sent)
 		return true, nil
 	case errors.As(err, &conflict):
+		if !conflict.Changed(check) && slices.ContainsFunc(checks, conflict.Changed) {
+			return false, conflict
+		}
 		return l.resolveConflict(conflict, next, attempt)
 	}
 	if l.OnFailure != nil {
