rowstore: learn the age of an owner lease from the store's clock

Callers saw tasks that last not run for 11 s after an outage of the store (LOST), with capacity for them.

Cause: a new owner waited for 6 s of its predecessor's authority from its own takeover, and then for one worker lease.

Change: the lease row says when it was sent, on the store's steady clock, and members bound that clock from the times in its responses. What earlier owners may still send counts from there, through an outage and in a process that has just started. If all has expired, the owner waits 1.5 s for responses.

Tests: TestAuthorityEndsDuringOutage and TestRecoveryAfterOutageWaitsOnlyForResponses fail with the former rule put back, TestAuthorityEndsDuringOutageAfterUnreadCommit without the clock, and TestFormerOrdersCoverEveryEarlierHolder with times that are early or stale.

--- a/hosted/process.go
+++ b/hosted/process.go
@@ -112,7 +112,7 @@
 func New(config Config) *Process {
 	settings := config.Settings
 	process := &Process{
-		Config: config, directTable: newTable(settings, storeConns), relayedTable: newTable(settings, relayedConns),
+		Config: config, directTable: newTable(settings, config.Clock, storeConns), relayedTable: newTable(settings, config.Clock, relayedConns),
 		calls:   platform.NewWorkers(platform.NewHTTPClient(workerConns)).Calls(),
 		members: &memberClient{http: platform.NewHTTPClient(memberConns)}, metrics: newMetrics(config.Dropped),
 		ownerLeases: map[fleet.PoolID]*rowstore.OwnerLease{}, owners: map[fleet.PoolID]*ownedPool{},
@@ -145,8 +145,9 @@
 }
 
 // newTable returns the row store, called through at most conns connections.
-func newTable(s *platform.Settings, conns int) *rowstore.Table {
+func newTable(s *platform.Settings, c clock.Clock, conns int) *rowstore.Table {
 	store := platform.NewStore(s.StoreAddr, platform.NewHTTPClient(conns))
+	store.ServiceClock.Clock = c
 	if s.MaxRowBytes > 0 {
 		store.MaxRowBytes = s.MaxRowBytes
 	}
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -131,7 +131,7 @@
 // respond have none of these: earlier owners may send orders until their authority ends, and then their
 // last worker lease has to expire.
 func (o *Owner) followKnownWorkers(now clock.Millis) {
-	o.formerLeasesEnd = now + max(0, o.Lease.FormerOrders()) + formerLeaseLimit
+	o.formerLeasesEnd = now + max(o.Lease.FormerOrders()+formerLeaseLimit, firstResponseTime)
 	for id, k := range o.knownWorkers {
 		if !k.Unused {
 			o.unconfirmed[id] = true
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -141,6 +141,11 @@
 // the last order.
 const formerLeaseSlack clock.Millis = 300
 
+// firstResponseTime is how long an owner waits for the first responses of workers even if all leases given
+// by earlier owners have expired, so that ended runs on the workers that respond are not repeated. It is two
+// polls that fail.
+const firstResponseTime clock.Millis = 1500
+
 // runsPerOwnerLease is the distance between the first run numbers of successive owner leases.
 // An owner with a higher fence thus uses higher run numbers.
 const runsPerOwnerLease = 1000
--- a/owner/recovery_test.go
+++ b/owner/recovery_test.go
@@ -193,3 +193,44 @@
 		must.Eq(t, []int{0, 1}, []int{early, workers.started()})
 	})
 }
+
+// Guards against tasks that last and are away for some 11 s after an outage of the store: the owner waited
+// for the authority of its predecessor, and the leases that it had given, as if the outage had not counted.
+// A worker that responds may still hand in the ended runs that it has, so the owner gives it time to.
+func TestRecoveryAfterOutageWaitsOnlyForResponses(t *testing.T) {
+	for _, c := range []struct {
+		outage     time.Duration
+		starts     int
+		startsTill time.Duration
+	}{{time.Second, 0, 8 * time.Second}, {15 * time.Second, 1, 2500 * time.Millisecond}} {
+		synctest.Test(t, func(t *testing.T) {
+			store := newStore()
+			submitted := &job.Job{ID: "00000000000000aa", Queue: "q", Steps: []job.Step{{Count: 1, Needs: job.Resources{CPU: 1}}}}
+			encoded, err := submitted.Encode()
+			must.NoError(t, err)
+			store.put("jobs", string(submitted.ID), encoded)
+			store.put("workers", "known", []byte(`{"w0":{"born_ms":1,"address":"a"}}`))
+			workers := &fakeWorkers{}
+			ownerClock := newClock()
+			claimLease(t, store.table(), ownerClock, "former")
+			lease := &rowstore.OwnerLease{Table: store.table(), Clock: ownerClock, Partition: "p", Self: "m", Address: "m:1"}
+			must.NoError(t, lease.Observe(store.leaseRow()))
+			time.Sleep(c.outage)
+			lease.RestartExpiry()
+			for !lease.Vacant() {
+				time.Sleep(100 * time.Millisecond)
+			}
+			claimed, err := lease.Claim(t.Context())
+			must.NoError(t, err)
+			must.True(t, claimed)
+			poolOwner := startOwner(t, owner.Config{Table: store.table(), Clock: ownerClock, Lease: lease, Calls: workers.calls()})
+			poolOwner.SetWorkers([]owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: 1, Capacity: job.Resources{CPU: 10, Memory: 10}}, Address: "b"}})
+			time.Sleep(900 * time.Millisecond)
+			must.Zero(t, workers.started(), must.Sprint("workers that respond have had no time to"))
+			time.Sleep(c.startsTill - time.Second)
+			starts := workers.started()
+			must.True(t, errors.Is(poolOwner.stop(), context.Canceled))
+			must.Eq(t, c.starts, starts, must.Sprint(c.outage))
+		})
+	}
+}
--- a/rowstore/former_orders_test.go
+++ b/rowstore/former_orders_test.go
@@ -107,6 +107,79 @@
 	must.Eq(t, delegated, restarted.FormerOrders())
 }
 
+// Guards against tasks that last and don't run for some 11 s after an outage of the store: the new holder
+// waited for the whole authority of the former one from its own takeover, although that authority had
+// ended during the outage.
+func TestAuthorityEndsDuringOutage(t *testing.T) {
+	var now clock.Millis
+	store := &fakeStore{}
+	a, b := newMember(store, "a", &now), newMember(store, "b", &now)
+	claimPartition(t, a, store)
+	must.NoError(t, b.Observe(leaseRow(store)))
+	store.down = true
+	for range 90 {
+		now += 100
+		b.RestartExpiry()
+	}
+	store.down = false
+	must.False(t, a.Authorized())
+	must.False(t, b.Vacant(), must.Sprint("the holder may renew the lease first"))
+	expire(&now)
+	must.True(t, b.Vacant())
+	claimPartition(t, b, store)
+	must.LessEq(t, -2000, b.FormerOrders())
+}
+
+// Guards against the same wait after an outage before which the holder committed a last time, as it does many
+// times a second: the other members read that version only when the outage is over.
+func TestAuthorityEndsDuringOutageAfterUnreadCommit(t *testing.T) {
+	var now clock.Millis
+	store := &fakeStore{serviceTime: func() (earliest, latest clock.Millis, ok bool) { return 9000 + now - 5, 9000 + now + 5, true }}
+	a, b := newMember(store, "a", &now), newMember(store, "b", &now)
+	claimPartition(t, a, store)
+	must.NoError(t, b.Observe(leaseRow(store)))
+	now += 100
+	must.NoError(t, a.Commit(t.Context(), nil))
+	committed := now
+	for range 90 {
+		now += 100
+		b.RestartExpiry()
+	}
+	restarted := newMember(store, "c", &now)
+	for _, successor := range []*rowstore.OwnerLease{b, restarted} {
+		must.NoError(t, successor.Observe(leaseRow(store)))
+		must.False(t, successor.Vacant(), must.Sprint("the holder may renew the lease first"))
+	}
+	expire(&now)
+	must.True(t, b.Vacant())
+	claimPartition(t, b, store)
+	end := now + b.FormerOrders()
+	must.Between(t, committed+rowstore.OwnerLeaseAuthority, end, committed+rowstore.OwnerLeaseAuthority+300)
+	must.NoError(t, b.Release(t.Context()))
+	now += 500
+	claimPartition(t, restarted, store)
+	must.LessEq(t, -480, restarted.FormerOrders())
+}
+
+// Guards against the same wait becoming too short if the holder renewed the lease during the outage, and its
+// renewal is read only afterwards.
+func TestRenewalDuringOutageCountsFromItsReading(t *testing.T) {
+	var now clock.Millis
+	store := &fakeStore{}
+	a, b := newMember(store, "a", &now), newMember(store, "b", &now)
+	claimPartition(t, a, store)
+	must.NoError(t, b.Observe(leaseRow(store)))
+	now += 5000 // the outage of b alone
+	must.NoError(t, a.Commit(t.Context(), nil))
+	committed := now
+	now += 4000
+	must.NoError(t, b.Observe(leaseRow(store)))
+	expire(&now)
+	must.True(t, b.Vacant())
+	claimPartition(t, b, store)
+	must.GreaterEq(t, committed+rowstore.OwnerLeaseAuthority, now+b.FormerOrders())
+}
+
 // Guards against a rolling upgrade in which a member of an earlier version releases the partition or claims it,
 // and its row says nothing of earlier holders.
 func TestRowOfEarlierVersionCountsAsLateOrders(t *testing.T) {
@@ -130,10 +203,15 @@
 // Guards against an outcome that depends on the order of takeovers: whatever happens to the partition, no holder
 // takes the orders of an earlier one for ended while that one may send them.
 func TestFormerOrdersCoverEveryEarlierHolder(t *testing.T) {
-	for seed := range uint64(300) {
+	for seed := range uint64(600) {
 		random := rand.New(rand.NewPCG(seed, 3))
 		var now clock.Millis
 		store := &fakeStore{}
+		if seed%2 == 1 { // the service has a clock, which members know to 200 ms
+			store.serviceTime = func() (earliest, latest clock.Millis, ok bool) {
+				return 5000 + now - clock.Millis(random.IntN(100)), 5000 + now + clock.Millis(random.IntN(100)), random.IntN(20) > 0
+			}
+		}
 		members := make([]*rowstore.OwnerLease, 3)
 		for i := range members {
 			members[i] = newMember(store, fleet.MemberID(rune('a'+i)), &now)
--- a/rowstore/owner_lease.go
+++ b/rowstore/owner_lease.go
@@ -64,8 +64,8 @@
 	rowRead     bool
 	version     fleet.Version
 	row         wireOwnerLease
-	versionSeen clock.Mark // when version was first read or written
-	expiryFrom  clock.Mark // when the wait for the lease's expiry began: versionSeen, or later; see RestartExpiry
+	versionSent clock.Mark // when version was sent, at the latest
+	expiryFrom  clock.Mark // when the wait for the lease's expiry began; see RestartExpiry
 	held        bool
 	commitSent  clock.Mark // taken just before the last successful commit was sent
 	formerEnd   clock.Mark // while held: when all earlier holders have ceased to send orders; see FormerOrders
@@ -79,16 +79,18 @@
 	Attempt string `json:"attempt"`
 	Weak    bool   `json:"weak,omitempty"`
 	Wanted  int    `json:"dispatchers_wanted,omitempty"`
-	// FormerOrders is the longest time in milliseconds, from when the row was written, for which holders
+	// FormerOrders is the longest time in milliseconds, from when the row was sent, for which holders
 	// before Holder may send orders. Rows of earlier versions lack it.
 	FormerOrders *int64 `json:"former_orders_ms,omitempty"`
+	// Sent is when the row was sent to the service, at the latest, on the service's clock. It is 0 if that is unknown.
+	Sent int64 `json:"sent_ms,omitempty"`
 }
 
 // unknownFormerOrders replaces wireOwnerLease.FormerOrders in a row of an earlier version: its holder had
 // claimed the partition at least OwnerLeaseTerm after the last commit of the one before.
 const unknownFormerOrders = OwnerLeaseAuthority - OwnerLeaseTerm
 
-// formerOrders returns the longest time, from when the row was written, for which holders before
+// formerOrders returns the longest time, from when the row was sent, for which holders before
 // r.Holder may send orders.
 func (r *wireOwnerLease) formerOrders() clock.Millis {
 	if r.FormerOrders == nil {
@@ -135,8 +137,35 @@
 
 // setRow records a version of the row that was just read or written. The caller holds l.mu.
 func (l *OwnerLease) setRow(version fleet.Version, row wireOwnerLease) {
-	l.version, l.row, l.versionSeen = version, row, l.Clock.Mark()
-	l.expiryFrom = l.versionSeen
+	l.version, l.row, l.expiryFrom = version, row, l.Clock.Mark()
+	l.versionSent = l.expiryFrom.Before(l.rowAge(row))
+}
+
+// rowAge returns the shortest time since a row was sent, or 0 if that is unknown.
+func (l *OwnerLease) rowAge(row wireOwnerLease) clock.Millis {
+	earliest, _, ok := l.serviceTime()
+	if !ok || row.Sent == 0 {
+		return 0
+	}
+	return max(0, earliest-clock.Millis(row.Sent))
+}
+
+// serviceTime returns the bounds of the service's clock, if they are known.
+func (l *OwnerLease) serviceTime() (earliest, latest clock.Millis, ok bool) {
+	if l.Table.ServiceTime == nil {
+		return 0, 0, false
+	}
+	return l.Table.ServiceTime()
+}
+
+// stamp completes a row that is about to be sent with the times that change with each version. The caller
+// holds l.mu.
+func (l *OwnerLease) stamp(row *wireOwnerLease) {
+	left := max(0, -int64(l.Clock.MinElapsed(l.formerEnd)))
+	row.FormerOrders, row.Sent = &left, 0
+	if _, latest, ok := l.serviceTime(); ok {
+		row.Sent = int64(latest)
+	}
 }
 
 // RestartExpiry restarts the wait for the lease's expiry after a time in which the rows could not
@@ -174,18 +203,18 @@
 }
 
 // ordersLeft returns the longest time for which the holder of the row and those before it may still send
-// orders if they don't write the row any more. If it is negative, they ceased that long ago. The
-// caller holds l.mu.
+// orders if they don't write the row any more. If it is negative, they ceased that long ago. An outage of
+// the store counts: a holder that can't commit loses its authority meanwhile. The caller holds l.mu.
 func (l *OwnerLease) ordersLeft() clock.Millis {
 	if l.version == 0 {
 		return 0 // there was no holder yet
 	}
-	elapsed := l.Clock.MinElapsed(l.versionSeen)
+	elapsed := l.Clock.MinElapsed(l.versionSent)
 	former := l.row.formerOrders() - elapsed
 	if l.row.Holder == "" {
 		return former
 	}
-	authority := OwnerLeaseAuthority - OwnerLeaseTerm // Vacant has waited for the term
+	authority := OwnerLeaseAuthority + ownerLeaseDrift - elapsed
 	if l.isOwnRow() {
 		authority = min(authority, l.DelegatedOrders)
 	}
@@ -200,13 +229,6 @@
 	return -l.Clock.MinElapsed(l.formerEnd)
 }
 
-// formerOrdersField returns the value of wireOwnerLease.FormerOrders for a row that the holder is about to
-// write. The caller holds l.mu.
-func (l *OwnerLease) formerOrdersField() *int64 {
-	left := max(0, -int64(l.Clock.MinElapsed(l.formerEnd)))
-	return &left
-}
-
 // Claim tries to acquire the owner lease. ok is false if another member acquired it first. It
 // fails with *UnavailableError.
 func (l *OwnerLease) Claim(ctx context.Context) (ok bool, err error) {
@@ -216,8 +238,8 @@
 	l.formerEnd = sent.Before(-l.ordersLeft())
 	next := wireOwnerLease{
 		Holder: string(l.Self), Address: l.Address, Fence: l.row.Fence + 1, Attempt: newAttemptID(), Weak: l.LowCPU,
-		FormerOrders: l.formerOrdersField(),
 	}
+	l.stamp(&next)
 	l.mu.Unlock()
 	value, err := json.Marshal(next)
 	if err != nil {
@@ -291,9 +313,10 @@
 		return false, &LeaseLostError{Partition: l.Partition, Holder: holder}
 	}
 	next := l.row
-	next.Attempt, next.Wanted, next.FormerOrders = attempt.id, l.wanted, l.formerOrdersField()
+	next.Attempt, next.Wanted = attempt.id, l.wanted
 	check := Check{Ref: l.ref(), Version: l.version}
 	sent := l.Clock.Mark()
+	l.stamp(&next)
 	l.mu.Unlock()
 	value, err := json.Marshal(next)
 	if err != nil {
@@ -404,7 +427,8 @@
 	l.mu.Lock()
 	held, version := l.held, l.version
 	l.held = false
-	next := wireOwnerLease{Fence: l.row.Fence, Attempt: newAttemptID(), FormerOrders: l.formerOrdersField()}
+	next := wireOwnerLease{Fence: l.row.Fence, Attempt: newAttemptID()}
+	l.stamp(&next)
 	l.mu.Unlock()
 	if !held {
 		return nil
--- a/rowstore/owner_lease_test.go
+++ b/rowstore/owner_lease_test.go
@@ -22,10 +22,12 @@
 	delayWrites   bool // keep transactions until applyDelayed applies them
 	delayed       []rowstore.Transaction
 	down          bool
+	// serviceTime returns the bounds of the service's clock that a member has; nil if it has none.
+	serviceTime func() (earliest, latest clock.Millis, ok bool)
 }
 
 func (s *fakeStore) table() *rowstore.Table {
-	return &rowstore.Table{Transact: s.transact, Read: s.read}
+	return &rowstore.Table{Transact: s.transact, Read: s.read, ServiceTime: s.serviceTime}
 }
 
 func (s *fakeStore) transact(_ context.Context, t rowstore.Transaction) ([]fleet.Version, error) {
--- a/rowstore/relay.go
+++ b/rowstore/relay.go
@@ -39,7 +39,7 @@
 
 // Table returns a table service that takes whichever path works.
 func (r *Relay) Table() *Table {
-	return &Table{Transact: r.transact, Read: r.read, Partitions: r.partitions, Feed: r.feed}
+	return &Table{Transact: r.transact, Read: r.read, Partitions: r.partitions, Feed: r.feed, ServiceTime: r.Direct.ServiceTime}
 }
 
 func (r *Relay) transact(ctx context.Context, t Transaction) ([]fleet.Version, error) {
--- a/rowstore/table.go
+++ b/rowstore/table.go
@@ -106,6 +106,9 @@
 	// from. It waits for a change for at most wait. It fails with *CompactedError if the history
 	// since that version is no longer kept. It is nil if the service has no feed.
 	Feed func(ctx context.Context, table string, after fleet.Version, wait clock.Millis) (FeedPage, error)
+	// ServiceTime returns the earliest and the latest time that the service's steady clock may show now. ok
+	// is false if that is unknown. It is nil if the service has no such clock.
+	ServiceTime func() (earliest, latest clock.Millis, ok bool)
 }
 
 // FeedPage holds the rows of a table that changed or were removed (Gone).
