hosted: let a test wait for an owner that still loads its pool

TestOddWorkerEntriesCostOnlyThemselves panicked in a run of all tests with the race detector: it read the schedule of an owner that had claimed the pool and not loaded it yet. With 400 ms more for the load it panics each time, and passes with this change; what it checks stays the same.

--- a/hosted/process_test.go
+++ b/hosted/process_test.go
@@ -244,7 +244,8 @@
 	later := c.addWorker("z1")
 	c.waitFor(5*time.Second, "the owner uses a worker that registers after the odd entries", func() bool {
 		pool := owner.Dump().Pools["sorting"]
-		return slices.ContainsFunc(pool.Schedule.Workers, func(w schedule.WorkerDump) bool { return w.ID == fleet.InstanceID(later.ID) })
+		loaded := pool.Schedule != nil
+		return loaded && slices.ContainsFunc(pool.Schedule.Workers, func(w schedule.WorkerDump) bool { return w.ID == fleet.InstanceID(later.ID) })
 	})
 	must.Eq(t, 2, owner.Dump().Pools["sorting"].KnownWorkers)
 	c.submit(c.otherMember(), jobID(1), jobBody(4, 50))
