owner: refuse a submission at once while the store is known to stall

A submission to an owner that has no permit for its queue yet called the store before the check for a stalled commit, and waited until its deadline one after the other, where it used to be refused at once. The check comes first now, and the state of a pool lists the permits.

TestStalledStoreRefusesJobsOfNewQueuesAtOnce fails without the check.

--- a/owner/queries.go
+++ b/owner/queries.go
@@ -32,6 +32,7 @@
 	Divided           bool             `json:"divided"`
 	DispatchersWanted int              `json:"dispatchers_wanted"`
 	Dispatchers       []DispatcherDump `json:"dispatchers"`
+	Queues            []QueueDump      `json:"queues"`
 	Schedule          *schedule.Dump   `json:"schedule"`
 }
 
@@ -43,6 +44,22 @@
 	Suspected bool           `json:"suspected"`
 }
 
+// QueueDump describes a queue whose jobs the pool takes.
+type QueueDump struct {
+	Address     fleet.QueueAddress `json:"address"`
+	FormerPools []fleet.PoolID     `json:"former_pools"`
+}
+
+// dumpQueues returns the queues whose jobs the pool takes, by address.
+func (o *Owner) dumpQueues() []QueueDump {
+	out := make([]QueueDump, 0, len(o.permits))
+	for _, p := range o.permits {
+		out = append(out, QueueDump{Address: p.Queue, FormerPools: p.Former})
+	}
+	slices.SortFunc(out, func(a, b QueueDump) int { return cmp.Compare(a.Address, b.Address) })
+	return out
+}
+
 // dumpDispatchers returns the state of the dispatchers, by member.
 func (o *Owner) dumpDispatchers() []DispatcherDump {
 	out := make([]DispatcherDump, 0, len(o.dispatchers))
@@ -61,6 +78,7 @@
 		Fence: o.Lease.Fence(), Unconfirmed: len(o.unconfirmed), Submissions: len(o.submissions),
 		SinceCommit: int64(o.Lease.SinceCommit()), KnownWorkers: len(o.knownWorkers),
 		Divided: o.divided, DispatchersWanted: o.dispatchersWanted(), Dispatchers: o.dumpDispatchers(),
+		Queues: o.dumpQueues(),
 	}
 	if o.loaded {
 		d.Recovered = o.pool.RecoveryFinished()
--- a/owner/queue_permit.go
+++ b/owner/queue_permit.go
@@ -26,7 +26,7 @@
 		return nil, &RefusedError{Reason: "the store did not say in time which pool takes the queue", RetryAfter: retryAfterStall}
 	}
 	if permit, err := o.knownPermit(r); permit != nil || err != nil {
-		return permit, err // another submission has acquired it
+		return permit, err // another submission has found out
 	}
 	queues := &rowstore.QueuePools{Table: o.Table}
 	permit, err := queues.Acquire(ctx, r.Queue, o.Pool, r.Version)
--- a/owner/queue_permit_test.go
+++ b/owner/queue_permit_test.go
@@ -124,3 +124,25 @@
 		must.True(t, errors.Is(poolOwner.stop(), context.Canceled))
 	})
 }
+
+// Guards against submissions to a new owner that wait until their deadlines for the permit of their queue, although
+// the store is known not to answer: they must be refused at once.
+func TestStalledStoreRefusesJobsOfNewQueuesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		poolOwner := startOwner(t, owner.Config{Table: store.table(), FinalStateRetention: 60_000})
+		must.NoError(t, submitTo(t.Context(), poolOwner, "0000000000000001", stayingQueue, 1))
+		must.Eq(t, []owner.QueueDump{{Address: stayingQueue}}, poolOwner.Dump().Queues)
+		store.mu.Lock()
+		store.unreachable = true
+		store.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		before := time.Now()
+		var refused *owner.RefusedError
+		must.True(t, errors.As(submitTo(t.Context(), poolOwner, "0000000000000002", movingQueue, 1), &refused))
+		must.True(t, refused.Final)
+		must.Eq(t, before, time.Now())
+		must.NoError(t, submitTo(t.Context(), poolOwner, "0000000000000001", stayingQueue, 1), must.Sprint("a repeat of an accepted job"))
+		must.True(t, errors.Is(poolOwner.stop(), context.Canceled))
+	})
+}
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -64,14 +64,14 @@
 	retryAfterNoOwner  = clock.Millis(500)  // while the pool changes its owner
 )
 
-// Submit makes a job durable and adds it to the pool, unless a former pool of its queue has it. waited is how long the call has been in the system; the
+// Submit makes a job durable and adds it to the pool. waited is how long the call has been in the system; the
 // job's objective counts from its arrival there. Submit also returns nil if the job was accepted
-// before. Otherwise it fails with *RefusedError, or with *UnknownError if the job may still be
+// before, by this pool or a former one of its queue. Otherwise it fails with *RefusedError, or with *UnknownError if the job may still be
 // accepted; no other code decides between the two. An error of another type means that the job
 // could not be encoded.
 func (o *Owner) Submit(ctx context.Context, j *job.Job, route Route, waited clock.Millis) error {
-	if o.accepted(j.ID) {
-		return nil
+	if accepted, err := o.precheck(j.ID); accepted || err != nil {
+		return err
 	}
 	permit, err := o.acquireQueue(ctx, route)
 	if err != nil {
@@ -103,11 +103,34 @@
 	return &UnknownError{Err: s.err}
 }
 
-// accepted reports whether the pool has a job.
-func (o *Owner) accepted(id job.ID) bool {
+// precheck decides what needs no call to the store: it reports whether the pool has a job, and fails with
+// *RefusedError if a submission can't succeed now.
+func (o *Owner) precheck(id job.ID) (accepted bool, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.loaded && !o.stopped && (o.pool.Job(id) != nil || o.unreadable[id])
+	switch {
+	case !o.loaded || o.stopped:
+		return false, &RefusedError{Reason: "the pool changes its owner", RetryAfter: retryAfterNoOwner}
+	case o.pool.Job(id) != nil || o.unreadable[id]:
+		return true, nil
+	case o.submissions[id] != nil:
+		return false, nil // waits for the outcome
+	}
+	return false, o.refuseWhileStalled()
+}
+
+// refuseWhileStalled returns a *RefusedError if the store has not answered a commit for long, or nil. The
+// retry time grows with the age of the outage: an outage that has lasted long is likely to go on, and the
+// caller has only a few retries left. The caller holds o.mu.
+func (o *Owner) refuseWhileStalled() error {
+	stalledFor := o.Clock.Now() - o.commitStarted
+	if o.commitStarted == 0 || stalledFor <= commitStallLimit {
+		return nil
+	}
+	o.Metrics.Refusals.WithLabelValues("store_stalled").Inc()
+	return &RefusedError{
+		Reason: fmt.Sprintf("the store has not answered for %d ms", stalledFor), Final: true, RetryAfter: min(maxRetryAfterStall, max(retryAfterStall, stalledFor)),
+	}
 }
 
 // enqueue queues a job for the next commit. It returns the submission to wait for, or nil if the
@@ -122,18 +145,13 @@
 		return nil, nil
 	case o.submissions[j.ID] != nil:
 		return o.submissions[j.ID], nil
-	case o.commitStarted != 0 && o.Clock.Now()-o.commitStarted > commitStallLimit:
-		// The retry time grows with the age of the outage: an outage that has lasted long is likely
-		// to go on, and the caller has only a few retries left.
-		stalledFor := o.Clock.Now() - o.commitStarted
-		o.Metrics.Refusals.WithLabelValues("store_stalled").Inc()
-		return nil, &RefusedError{
-			Reason: fmt.Sprintf("the store has not answered for %d ms", stalledFor), Final: true, RetryAfter: min(maxRetryAfterStall, max(retryAfterStall, stalledFor)),
-		}
 	case len(o.uncommitted) >= maxSubmissions:
 		o.Metrics.Refusals.WithLabelValues("too_many_waiting").Inc()
 		return nil, &RefusedError{Reason: "too many jobs wait for the store", Final: true, RetryAfter: retryAfterStall}
 	}
+	if err := o.refuseWhileStalled(); err != nil {
+		return nil, err
+	}
 	if j.Policy == nil && !o.setPolicy(j) {
 		return nil, &RefusedError{Reason: "the owner has not read the configuration of the queue", RetryAfter: retryAfterNoOwner}
 	}
