--- a/spec/tenure.pml
+++ b/spec/tenure.pml
@@ -20,6 +20,8 @@
  * MUTANT 6: an owner ignores that its predecessor may have extended the lease of an adopted run.
  * MUTANT 7: an owner that is not certain of its owner lease takes the wait for unresponsive
  *           workers as over.
+ * MUTANT 8: after a release, a new owner does not wait for the orders of owners before the one that
+ *           released the pool.
  */
 #ifndef MUTANT
 #define MUTANT 0
@@ -30,6 +32,7 @@
 
 byte holder = NONE;          /* member that holds the owner lease */
 byte lastFence = 0;
+bool released = false;       /* the last owner has released the pool */
 byte fenceOf[2];             /* of each member's owner lease */
 bool certain[2];
 bool authorized[2];
@@ -53,6 +56,9 @@
 
 #define IX(m, w) ((m) * 2 + (w))
 
+/* no earlier owner sends orders any more */
+#define ordersEnded(m) (!authorized[1 - m] || (MUTANT == 8 && released))
+
 inline begin(w) {
   assert(!acked || excused);
   running[w] = true;
@@ -66,12 +72,15 @@
   do
   /* take over the pool when its holder is not certain any more */
   :: atomic { holder != m && lastFence < FENCES && (holder == NONE || !certain[1 - m]) ->
-       recovered[m] = (holder != NONE);
+       recovered[m] = (lastFence > 0);
        holder = m; lastFence++; fenceOf[m] = lastFence;
        certain[m] = true; authorized[m] = true;
        settled[m] = !recovered[m];
        answered[IX(m, 0)] = false; answered[IX(m, 1)] = false;
        belief[m] = NONE; sawDone[m] = stored; }
+  /* stop during the recovery and release the pool, once no order is in flight */
+  :: atomic { holder == m && certain[m] && !settled[m] && !pending[m] ->
+       holder = NONE; released = true; certain[m] = false; authorized[m] = false }
   /* the term and then the authority end for a member that cannot renew */
   :: atomic { certain[m] -> certain[m] = false }
   :: atomic { authorized[m] && !certain[m] -> authorized[m] = false }
@@ -105,8 +114,8 @@
   /* finish recovery, so that recovered tasks may start: each worker has responded or cannot have
      a run in progress */
   :: atomic { authorized[m] && !settled[m] &&
-       (answered[IX(m, 0)] || MUTANT == 3 || ((certain[m] || MUTANT == 7) && !authorized[1 - m] && !live[IX(0, 0)] && !live[IX(1, 0)])) &&
-       (answered[IX(m, 1)] || MUTANT == 3 || ((certain[m] || MUTANT == 7) && !authorized[1 - m] && !live[IX(0, 1)] && !live[IX(1, 1)])) ->
+       (answered[IX(m, 0)] || MUTANT == 3 || ((certain[m] || MUTANT == 7) && ordersEnded(m) && !live[IX(0, 0)] && !live[IX(1, 0)])) &&
+       (answered[IX(m, 1)] || MUTANT == 3 || ((certain[m] || MUTANT == 7) && ordersEnded(m) && !live[IX(0, 1)] && !live[IX(1, 1)])) ->
        settled[m] = true }
   /* send a start order, which may be carried out late */
   :: atomic { authorized[m] && settled[m] && belief[m] == NONE && !sawDone[m] && !pending[m] ->
