owner: share the setup of the recovery tests

Three tests had the same store, job and worker set up. What they check is unchanged: without the check of an exclusive lease at the end of the wait, TestOwnerWithoutStoreDoesNotFinishRecovery still fails.

--- a/owner/recovery_test.go
+++ b/owner/recovery_test.go
@@ -128,6 +128,21 @@
 	return w.starts
 }
 
+// newStoreToRecover returns a store that an earlier owner has left, with a job of one task and the worker w0,
+// on which the task may run.
+func newStoreToRecover(t *testing.T) *fakeStore {
+	store := newStore()
+	submitted := &job.Job{ID: "00000000000000aa", Queue: "q", Steps: []job.Step{{Count: 1, Needs: job.Resources{CPU: 1}}}}
+	encoded, err := submitted.Encode()
+	must.NoError(t, err)
+	store.put("jobs", string(submitted.ID), encoded)
+	store.put("workers", "known", []byte(`{"w0":{"born_ms":1,"address":"a"}}`))
+	return store
+}
+
+// freeWorker is the list of workers of a platform on which only w1 is left, with room for the task.
+var freeWorker = []owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: 1, Capacity: job.Resources{CPU: 10, Memory: 10}}, Address: "b"}}
+
 // Guards against a second run of a completed task. A new owner waits for the leases of an
 // unresponsive worker to expire, and meanwhile loses the row store and, unnoticed, the owner
 // lease. Its successor reaches the worker, records the task as done and lets the worker forget
@@ -140,18 +155,13 @@
 		starts     int
 	}{{"store unreachable", true, 0}, {"store reachable", false, 1}} {
 		synctest.Test(t, func(t *testing.T) {
-			store := newStore()
-			submitted := &job.Job{ID: "00000000000000aa", Queue: "q", Steps: []job.Step{{Count: 1, Needs: job.Resources{CPU: 1}}}}
-			encoded, err := submitted.Encode()
-			must.NoError(t, err)
-			store.put("jobs", string(submitted.ID), encoded)
-			store.put("workers", "known", []byte(`{"w0":{"born_ms":1,"address":"a"}}`))
+			store := newStoreToRecover(t)
 			workers := &fakeWorkers{}
 			ownerClock := newClock()
 			lease := takeOverLease(t, store, ownerClock, "m")
 			poolOwner := startOwner(t, owner.Config{Table: store.table(), Clock: ownerClock, Lease: lease, Calls: workers.calls()})
 			time.Sleep(900 * time.Millisecond)
-			poolOwner.SetWorkers([]owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: 1, Capacity: job.Resources{CPU: 10, Memory: 10}}, Address: "b"}})
+			poolOwner.SetWorkers(freeWorker)
 			time.Sleep(4 * time.Second)
 			store.mu.Lock()
 			store.unreachable = c.storeFails
@@ -168,12 +178,7 @@
 // for the orders of their predecessor, whose authority goes on, and for the leases that these extend.
 func TestOwnerStoppedDuringRecoveryLeavesItsWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := newStore()
-		submitted := &job.Job{ID: "00000000000000aa", Queue: "q", Steps: []job.Step{{Count: 1, Needs: job.Resources{CPU: 1}}}}
-		encoded, err := submitted.Encode()
-		must.NoError(t, err)
-		store.put("jobs", string(submitted.ID), encoded)
-		store.put("workers", "known", []byte(`{"w0":{"born_ms":1,"address":"a"}}`))
+		store := newStoreToRecover(t)
 		workers := &fakeWorkers{}
 		ownerClock := newClock()
 		stopped := takeOverLease(t, store, ownerClock, "m")
@@ -185,7 +190,7 @@
 		must.NoError(t, err)
 		must.True(t, claimed)
 		poolOwner := startOwner(t, owner.Config{Table: store.table(), Clock: ownerClock, Lease: next, Calls: workers.calls()})
-		poolOwner.SetWorkers([]owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: 1, Capacity: job.Resources{CPU: 10, Memory: 10}}, Address: "b"}})
+		poolOwner.SetWorkers(freeWorker)
 		time.Sleep(9 * time.Second)
 		early := workers.started()
 		time.Sleep(3 * time.Second)
@@ -204,12 +209,7 @@
 		startsTill time.Duration
 	}{{time.Second, 0, 8 * time.Second}, {15 * time.Second, 1, 2500 * time.Millisecond}} {
 		synctest.Test(t, func(t *testing.T) {
-			store := newStore()
-			submitted := &job.Job{ID: "00000000000000aa", Queue: "q", Steps: []job.Step{{Count: 1, Needs: job.Resources{CPU: 1}}}}
-			encoded, err := submitted.Encode()
-			must.NoError(t, err)
-			store.put("jobs", string(submitted.ID), encoded)
-			store.put("workers", "known", []byte(`{"w0":{"born_ms":1,"address":"a"}}`))
+			store := newStoreToRecover(t)
 			workers := &fakeWorkers{}
 			ownerClock := newClock()
 			claimLease(t, store.table(), ownerClock, "former")
@@ -224,7 +224,7 @@
 			must.NoError(t, err)
 			must.True(t, claimed)
 			poolOwner := startOwner(t, owner.Config{Table: store.table(), Clock: ownerClock, Lease: lease, Calls: workers.calls()})
-			poolOwner.SetWorkers([]owner.ListedWorker{{Worker: schedule.Worker{ID: "w1", Incarnation: 1, Capacity: job.Resources{CPU: 10, Memory: 10}}, Address: "b"}})
+			poolOwner.SetWorkers(freeWorker)
 			time.Sleep(900 * time.Millisecond)
 			must.Zero(t, workers.started(), must.Sprint("workers that respond have had no time to"))
 			time.Sleep(c.startsTill - time.Second)
