--- a/rowstore/owner_lease.go
+++ b/rowstore/owner_lease.go
@@ -421,8 +421,9 @@
 }
 
 // Release gives the lease up, so that another member can acquire it at once. All orders of this holder
-// must have ended before the call; the row goes on saying how long those of earlier holders may come. It does nothing if the lease is not held. It tries again until the table
-// service responds or ctx ends, and fails with *ConflictError or *UnavailableError.
+// must have ended before the call; the row goes on saying how long those of earlier holders may come. Release
+// does nothing if the lease is not held. It tries again until the table service responds or ctx ends, and fails
+// with *ConflictError or *UnavailableError.
 func (l *OwnerLease) Release(ctx context.Context) error {
 	l.mu.Lock()
 	held, version := l.held, l.version
