--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -46,6 +46,9 @@
 	servers   []*http.Server
 	began     time.Time
 
+	runMu   sync.Mutex // held while a process is started, and while all are ended
+	stopped bool       // no process is started any more
+
 	recordMu sync.Mutex
 	record   *os.File
 
@@ -239,6 +242,11 @@
 
 // run starts the process of a member with the command of the deploy file.
 func (d *deployment) run(m *member) error {
+	d.runMu.Lock()
+	defer d.runMu.Unlock()
+	if d.stopped {
+		return nil
+	}
 	cmd := exec.Command("target/citronknotd", "hosted")
 	cmd.Dir = d.root
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8", "CITRONKNOT_NODE_FILE=" + m.settings}
@@ -305,6 +313,12 @@
 
 // stop ends all processes and stand-ins.
 func (d *deployment) stop() {
+	d.runMu.Lock()
+	defer d.runMu.Unlock()
+	if d.stopped {
+		return
+	}
+	d.stopped = true
 	for _, m := range d.members {
 		if m.cmd != nil {
 			_ = m.cmd.Process.Signal(syscall.SIGKILL)
