--- a/schedule/job.go
+++ b/schedule/job.go
@@ -38,6 +38,19 @@
 	index          int
 	steps          []*stepRun
 	remainingSteps int // steps that are not done
+	// held is set while no task may start because the occurrence may not be due yet. It was created
+	// because a worker had run some of its tasks.
+	held bool
+}
+
+// occurrence returns the occurrence with an index, or nil if it is not created or was removed.
+func (j *Job) occurrence(index int) *occurrence {
+	for _, o := range j.occurrences {
+		if o.index == index {
+			return o
+		}
+	}
+	return nil
 }
 
 // State returns the job's durable state, which is the one that callers see.
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -186,12 +186,36 @@
 	if j == nil {
 		return nil
 	}
-	for _, o := range j.occurrences {
-		if o.index == ref.Occurrence && ref.Step < len(o.steps) && ref.Index < len(o.steps[ref.Step].tasks) {
-			return &o.steps[ref.Step].tasks[ref.Index]
-		}
+	o := j.occurrence(ref.Occurrence)
+	if o == nil || ref.Step >= len(o.steps) || ref.Index >= len(o.steps[ref.Step].tasks) {
+		return nil
+	}
+	return &o.steps[ref.Step].tasks[ref.Index]
+}
+
+// findReported returns the task of a run that a worker reports, or nil if the run is of no concern: its
+// job is unknown or final, or its occurrence is complete. If a former owner has created the occurrence and
+// this one has not, findReported creates it, so that no end is lost. It stays held until it is due on this
+// owner's clock.
+func (p *Pool) findReported(ref job.Ref, now clock.Millis) *task {
+	if t := p.find(ref); t != nil {
+		return t
+	}
+	j := p.jobs[ref.Job]
+	if j == nil || !j.mayHaveRun(ref) {
+		return nil
+	}
+	p.createOccurrence(j, ref.Occurrence, false, now)
+	return p.find(ref)
+}
+
+// mayHaveRun reports whether a former owner may have started a task of an occurrence that is not created
+// here and not complete.
+func (j *Job) mayHaveRun(ref job.Ref) bool {
+	if !j.recovered || j.state.Final() || ref.Occurrence >= j.Runs || j.progress.IsComplete(ref.Occurrence) {
+		return false
 	}
-	return nil
+	return ref.Step < len(j.Steps) && ref.Index < j.Steps[ref.Step].Count
 }
 
 // observeRun processes one run that a worker lists as running. A run that the pool does not expect is
@@ -199,7 +223,7 @@
 // started, which happens only once the lease of this one has expired or its stop was accepted, and two runs of a
 // task must not go on.
 func (p *Pool) observeRun(w *worker, r *RunReport, now clock.Millis) {
-	t := p.find(r.Task)
+	t := p.findReported(r.Task, now)
 	if t != nil && t.worker == w && t.run == r.Run {
 		t.listedAt = w.listedAt
 		if t.listedAt >= t.stopUntil {
@@ -278,7 +302,7 @@
 		delete(w.unexpected, key)
 		p.byFreeCPU.update(w)
 	}
-	t := p.find(e.Task)
+	t := p.findReported(e.Task, now)
 	if t == nil {
 		return
 	}
@@ -372,23 +396,21 @@
 // stepDone unblocks the steps that depend only on steps that are done, and completes the
 // occurrence if no step remains.
 func (p *Pool) stepDone(j *Job, s *stepRun, now clock.Millis) {
-	for _, o := range j.occurrences {
-		if o.index != s.occurrence {
-			continue
-		}
-		o.remainingSteps--
-		for _, later := range o.steps {
-			if slices.Contains(later.spec.After, s.index) {
-				later.blockedBy--
-				if later.blockedBy == 0 && !j.state.Final() {
-					p.unblock(later, now)
-				}
+	o := j.occurrence(s.occurrence)
+	if o == nil {
+		return
+	}
+	o.remainingSteps--
+	for _, later := range o.steps {
+		if slices.Contains(later.spec.After, s.index) {
+			later.blockedBy--
+			if later.blockedBy == 0 && !j.state.Final() {
+				p.unblock(later, now)
 			}
 		}
-		if o.remainingSteps == 0 {
-			p.completeOccurrence(j, o, now)
-		}
-		return
+	}
+	if o.remainingSteps == 0 {
+		p.completeOccurrence(j, o, now)
 	}
 }
 
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -35,9 +35,10 @@
 func (p *Pool) createDueOccurrences(now, wall clock.Millis) {
 	p.timedJobs = slices.DeleteFunc(p.timedJobs, func(j *Job) bool {
 		j.removeCompleteOccurrences()
+		p.releaseDueOccurrences(j, now, wall)
 		for !j.state.Final() && j.nextOccurrence < j.Runs && j.Due(j.nextOccurrence) <= wall && j.mayCreateOccurrence() {
-			if !j.progress.IsComplete(j.nextOccurrence) {
-				p.createOccurrence(j, j.nextOccurrence, now)
+			if !j.progress.IsComplete(j.nextOccurrence) && j.occurrence(j.nextOccurrence) == nil {
+				p.createOccurrence(j, j.nextOccurrence, true, now)
 			}
 			j.nextOccurrence++
 		}
@@ -45,6 +46,19 @@
 	})
 }
 
+// releaseDueOccurrences lets the tasks of the held occurrences of a job start that are due. They do not
+// wait for earlier occurrences, which may themselves wait for these to be complete.
+func (p *Pool) releaseDueOccurrences(j *Job, now, wall clock.Millis) {
+	if j.state.Final() {
+		return
+	}
+	for _, o := range j.occurrences {
+		if o.held && j.Due(o.index) <= wall {
+			p.releaseOccurrence(o, now)
+		}
+	}
+}
+
 // handleOverdueOrders withdraws starts that have no response after StartWait and repeats stops
 // that have none after StopRepeat.
 func (p *Pool) handleOverdueOrders(now clock.Millis) {
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -182,21 +182,25 @@
 	case j.Runs > 0:
 		p.timedJobs = append(p.timedJobs, added)
 	default:
-		p.createOccurrence(added, 0, now)
+		p.createOccurrence(added, 0, true, now)
 		added.nextOccurrence = 1
 	}
 	return added
 }
 
 // createOccurrence creates an occurrence of a job and makes the steps ready that depend on no
-// unfinished step.
-func (p *Pool) createOccurrence(j *Job, index int, now clock.Millis) {
-	o := &occurrence{index: index, remainingSteps: len(j.Steps)}
+// unfinished step. Those of an occurrence that may not be due yet are blocked until
+// [Pool.releaseOccurrence].
+func (p *Pool) createOccurrence(j *Job, index int, due bool, now clock.Millis) *occurrence {
+	o := &occurrence{index: index, remainingSteps: len(j.Steps), held: !due}
 	if j.Runs > 0 { // the objective counts from acceptance, which does not fit later occurrences
 		p.regroup(j, now+j.objective-j.acceptedAt)
 	}
 	for i := range j.Steps {
 		s := &stepRun{job: j, occurrence: index, index: i, spec: &j.Steps[i], tasks: make([]task, j.Steps[i].Count)}
+		if o.held {
+			s.blockedBy++
+		}
 		for k := range s.tasks {
 			t := &s.tasks[k]
 			*t = task{step: s, index: k, state: blocked, stateSince: now}
@@ -232,6 +236,17 @@
 	if o.remainingSteps == 0 {
 		p.completeOccurrence(j, o, now)
 	}
+	return o
+}
+
+// releaseOccurrence makes the steps of a held occurrence ready that depend on no unfinished step.
+func (p *Pool) releaseOccurrence(o *occurrence, now clock.Millis) {
+	o.held = false
+	for _, s := range o.steps {
+		if s.blockedBy--; s.blockedBy == 0 {
+			p.unblock(s, now)
+		}
+	}
 }
 
 // unblock makes the blocked tasks of a step ready to start, as all earlier steps are done.
