--- a/job/codec.go
+++ b/job/codec.go
@@ -62,6 +62,8 @@
 	Cause   string                 `json:"cause,omitempty"`   // of a final state
 	Crashes map[string][]wireCrash `json:"crashes,omitempty"` // by OCCURRENCE.STEP.INDEX, like Trials
 	Trials  map[string]wireTrial   `json:"trials,omitempty"`
+
+	Compact *wireCompact `json:"compact,omitempty"` // what has too many entries for the fields above
 }
 
 // wireCrash is a crash of a worker under a task.
@@ -162,17 +164,27 @@
 }
 
 // Encode returns p in the JSON form in which it is stored. Done tasks are stored as ranges of
-// indexes. For a job in a final state only the state, its cause and its time are stored.
-func (p *Progress) Encode() ([]byte, error) {
+// indexes, and what concerns many tasks in a compact form. For a job in a final state only the
+// state, its cause and its time are stored.
+func (p *Progress) Encode() ([]byte, error) { return p.encode(allCrashes) }
+
+// EncodeWithin is like Encode, but leaves out as much of the crashes as is necessary for the result to
+// take at most limit bytes; complete reports whether nothing is left out. The result is larger than the limit if
+// the rest alone is.
+func (p *Progress) EncodeWithin(limit int) (text []byte, complete bool, err error) {
+	for detail := allCrashes; ; detail++ {
+		text, err = p.encode(detail)
+		if err != nil || len(text) <= limit || detail == noCrashes || len(p.Crashes) == 0 {
+			return text, detail == allCrashes, err
+		}
+	}
+}
+
+// encode returns p in its stored form, with the given detail of the crashes.
+func (p *Progress) encode(detail crashDetail) ([]byte, error) {
 	w := wireProgress{State: string(p.State), Finished: int64(p.Finished), Cause: p.Cause}
 	if !p.State.Final() {
-		for _, r := range p.Complete {
-			w.Done = append(w.Done, fmt.Sprintf("%d-%d", r.First, r.Last))
-		}
-		w.Done = append(w.Done, encodeDone(p.Done)...)
-		w.Failures = encodeByPosition(p.Failures, func(runs []int) []int { return runs })
-		w.Crashes = encodeByPosition(p.Crashes, encodeCrashes)
-		w.Trials = encodeByPosition(p.Trials, encodeTrial)
+		w.encodeTasks(p, detail)
 	}
 	text, err := json.Marshal(w)
 	return text, eris.Wrap(err, "job: encode progress")
@@ -228,13 +240,17 @@
 	return Trial{Run: t.Run, Worker: fleet.InstanceID(t.Worker), Incarnation: clock.Millis(t.Incarnation), Alone: t.Alone}
 }
 
-func encodeDone(done map[Position]bool) []string {
-	all := make([]Position, 0, len(done))
-	for at := range done {
+// encodeDone returns the ranges of complete occurrences and of done tasks in their stored form.
+func encodeDone(p *Progress) []string {
+	var out []string
+	for _, r := range p.Complete {
+		out = append(out, fmt.Sprintf("%d-%d", r.First, r.Last))
+	}
+	all := make([]Position, 0, len(p.Done))
+	for at := range p.Done {
 		all = append(all, at)
 	}
 	slices.SortFunc(all, comparePositions)
-	var out []string
 	for i := 0; i < len(all); {
 		k := i + 1
 		for k < len(all) && all[k].Occurrence == all[i].Occurrence && all[k].Step == all[i].Step && all[k].Index == all[k-1].Index+1 {
@@ -265,6 +281,9 @@
 	}
 	p := &Progress{State: State(w.State), Cause: w.Cause, Finished: clock.Millis(w.Finished), Done: map[Position]bool{}}
 	for _, doneRange := range w.Done {
+		if doneRange == compactMark && w.Compact != nil {
+			continue
+		}
 		if err := p.decodeDone(doneRange); err != nil {
 			return nil, err
 		}
@@ -279,6 +298,11 @@
 	if p.Trials, err = decodeByPosition(w.Trials, decodeTrial); err != nil {
 		return nil, err
 	}
+	if w.Compact != nil {
+		if err := w.Compact.decode(p); err != nil {
+			return nil, err
+		}
+	}
 	return p, nil
 }
 
--- a/job/crash.go
+++ b/job/crash.go
@@ -7,6 +7,18 @@
 	"citronknot/fleet"
 )
 
+// Ages of runs that decide what a crash of their worker says of their tasks.
+const (
+	// StartupAge is how long a run counts as just started. A task that crashes its worker usually does
+	// so as it starts.
+	StartupAge clock.Millis = 150
+	// ProvenAge is the age from which on a crash hardly counts against the task.
+	ProvenAge clock.Millis = 10_000
+	// CrashAgeSpread is the largest difference between the ages at which runs of a task are lost that
+	// crashes its workers at its start. It covers the time between two polls of a worker.
+	CrashAgeSpread clock.Millis = 50
+)
+
 // Crash is a run of a task that was lost when its worker crashed.
 type Crash struct {
 	Run         int
--- a/job/progress.go
+++ b/job/progress.go
@@ -73,6 +73,15 @@
 	}
 }
 
+// appendComplete adds an occurrence that comes after all that are recorded as complete.
+func (p *Progress) appendComplete(occurrence int) {
+	if n := len(p.Complete); n > 0 && p.Complete[n-1].Last == occurrence-1 {
+		p.Complete[n-1].Last = occurrence
+		return
+	}
+	p.Complete = append(p.Complete, OccurrenceRange{First: occurrence, Last: occurrence})
+}
+
 // IsComplete reports whether all tasks of an occurrence are done.
 func (p *Progress) IsComplete(occurrence int) bool {
 	_, found := p.findOccurrence(occurrence)
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -323,8 +323,9 @@
 	return batch, nil
 }
 
-// takeChanges adds the changed progress of jobs to a batch. A job whose progress is larger than the
-// store takes fails: its row would keep this commit, and those of each later owner, from succeeding.
+// takeChanges adds the changed progress of jobs to a batch. Crashes that a row does not take are left out
+// of it, so that the next owner does not know of them. A job whose progress is larger than the store takes
+// even so fails: its row would keep this commit, and those of each later owner, from succeeding.
 func (o *Owner) takeChanges(batch *commitBatch) error {
 	for batch.hasRoom(maxCommitRows) {
 		changes := o.pool.Changes(o.Clock.Wall(), 1)
@@ -332,10 +333,13 @@
 			return nil
 		}
 		change := changes[0]
-		value, err := change.Progress.Encode()
+		value, complete, err := change.Progress.EncodeWithin(o.MaxRowBytes)
 		if err != nil {
 			return err
 		}
+		if !complete {
+			o.noteReducedProgress(change.Job, len(value))
+		}
 		if len(value) > o.MaxRowBytes {
 			o.pool.Fail(change.Job, fmt.Sprintf("its progress takes %d bytes, and the store takes at most %d", len(value), o.MaxRowBytes), o.Clock.Now())
 			continue
@@ -346,6 +350,16 @@
 	return nil
 }
 
+// noteReducedProgress logs and counts that the row of a job does not take all of its crashes, once for each job.
+func (o *Owner) noteReducedProgress(id job.ID, bytes int) {
+	if o.reducedProgress[id] {
+		return
+	}
+	o.reducedProgress[id] = true
+	o.Metrics.Events.WithLabelValues("progress_reduced").Inc()
+	o.Log.Warn("owner: crashes under the tasks of a job are not recorded in full", "pool", o.Pool, "fence", o.Lease.Fence(), "job", id, "bytes", bytes)
+}
+
 // applyCommitted updates the pool after a batch has become durable, and wakes those who wait for
 // the commit.
 func (o *Owner) applyCommitted(batch *commitBatch) {
@@ -388,6 +402,7 @@
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		if !o.stopped && o.pool.Remove(change.Job) {
+			delete(o.reducedProgress, change.Job)
 			o.removedJobs = append(o.removedJobs, change.Job)
 		}
 	})
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -87,14 +87,17 @@
 	formerLeasesEnd   clock.Millis // when all leases given by earlier owners have expired
 	stopped           bool
 
-	permits       map[fleet.QueueAddress]*rowstore.QueuePermit // queues whose jobs the pool takes
-	movedAway     map[fleet.QueueAddress]fleet.Version         // by queue that another pool takes, the version that sends it there
-	acquiring     chan struct{}                                // holds a value while a permit is acquired
-	unreadable    map[job.ID]bool                              // jobs with rows that can't be decoded
-	submissions   map[job.ID]*submission                       // not durable yet
-	refusals      refusalLog
-	uncommitted   []*submission // the submissions that no commit contains yet
-	removedJobs   []job.ID      // finished jobs whose rows are to be deleted
+	permits     map[fleet.QueueAddress]*rowstore.QueuePermit // queues whose jobs the pool takes
+	movedAway   map[fleet.QueueAddress]fleet.Version         // by queue that another pool takes, the version that sends it there
+	acquiring   chan struct{}                                // holds a value while a permit is acquired
+	unreadable  map[job.ID]bool                              // jobs with rows that can't be decoded
+	submissions map[job.ID]*submission                       // not durable yet
+	refusals    refusalLog
+	uncommitted []*submission // the submissions that no commit contains yet
+	removedJobs []job.ID      // finished jobs whose rows are to be deleted
+
+	reducedProgress map[job.ID]bool // jobs of which noteReducedProgress was called
+
 	lastChange    uint64        // number of the newest worker report with ended runs
 	durableChange uint64        // number of the newest such report that is durable
 	committed     chan struct{} // closed and replaced after each commit
@@ -125,7 +128,7 @@
 		Config: c, listedWorkers: map[fleet.InstanceID]schedule.Worker{}, addresses: map[fleet.InstanceID]string{},
 		sessions: map[fleet.InstanceID]*session{}, knownWorkers: map[fleet.InstanceID]knownWorker{},
 		savedKnownWorkers: map[fleet.InstanceID]knownWorker{}, endedIncarnations: map[fleet.InstanceID]endedIncarnation{},
-		permits: map[fleet.QueueAddress]*rowstore.QueuePermit{}, movedAway: map[fleet.QueueAddress]fleet.Version{}, acquiring: make(chan struct{}, 1),
+		reducedProgress: map[job.ID]bool{}, permits: map[fleet.QueueAddress]*rowstore.QueuePermit{}, movedAway: map[fleet.QueueAddress]fleet.Version{}, acquiring: make(chan struct{}, 1),
 		unconfirmed: map[fleet.InstanceID]bool{}, unreadable: map[job.ID]bool{}, submissions: map[job.ID]*submission{},
 		dispatchers: map[fleet.MemberID]*dispatcherRecord{}, dispatcherLeft: make(chan struct{}, 1),
 		plannedAt: c.Clock.Mark(), committed: make(chan struct{}), planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
--- a/schedule/suspicion.go
+++ b/schedule/suspicion.go
@@ -11,20 +11,15 @@
 
 // Times that decide what the crash of a worker says of the runs that were lost with it.
 const (
-	// startupTime is how long a run counts as just started. A task that crashes its worker usually
-	// does so as it starts.
-	startupTime clock.Millis = 150
+	startupTime = job.StartupAge
 	// quickCrashAge is the largest age of a run that crashed its worker at its start. It covers the
 	// polls that have to fail before a worker counts as unreachable.
-	quickCrashAge clock.Millis = 1000
-	// crashAgeSpread is the largest difference between the ages at which runs of a task are lost that
-	// crashes its workers at its start. It covers the time between two polls of a worker.
-	crashAgeSpread clock.Millis = 50
+	quickCrashAge  clock.Millis = 1000
+	crashAgeSpread              = job.CrashAgeSpread
 	// settledAge is how long a run has gone on when a crash of its worker, just after another start
 	// there, is not put down to it.
 	settledAge = 2 * quickCrashAge
-	// provenAge is the age from which on a crash of its worker hardly counts against a run.
-	provenAge clock.Millis = 10_000
+	provenAge  = job.ProvenAge
 	// forgetAge is how long a run has gone on when earlier crashes no longer count against its task.
 	forgetAge clock.Millis = 60_000
 	// doubtTime is how long the pool remembers the runs of a worker that has not responded, in case
