--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -190,7 +190,7 @@
 	a := &assignment{Assignment: given, cancel: cancel}
 	a.session = worker.NewSession(worker.Config{
 		Calls: d.Calls, Endpoint: given.Endpoint, Incarnation: given.Incarnation, Clock: d.Clock, Fence: d.fence, PollWait: d.PollWait, Log: d.Log,
-		FormerLeasesEnd: d.Clock.Now() + given.FormerLeases, Authorized: d.authorized,
+		FormerLeasesEnd: d.Clock.Now() + given.FormerLeases, FormerLease: given.FormerLease, MaxLease: given.MaxLease, Authorized: d.authorized,
 		MayStart: func() bool { return d.MayStart == nil || d.MayStart(given.Zone) },
 		Report:   func(ctx context.Context, r schedule.Report) uint64 { return d.report(ctx, a, r) },
 		Durable:  func() uint64 { return d.durableFor(a) },
@@ -201,7 +201,7 @@
 			}
 			d.add(a, Event{Kind: kind, At: since})
 		},
-		Lost: func(reason string) { d.add(a, Event{Kind: IncarnationLost, Detail: reason}) },
+		Lost: func(l worker.Loss) { d.add(a, Event{Kind: IncarnationLost, Successor: l.Successor, Detail: l.Reason}) },
 		Expired: func() bool {
 			d.add(a, Event{Kind: LeasesExpired})
 			return true // the owner begins another assignment, whether it can record the expiry or not
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -33,6 +33,9 @@
 	// FormerLeases is the longest time from now for which leases that other members gave the
 	// worker's runs can last.
 	FormerLeases clock.Millis
+	// FormerLease and MaxLease are those of worker.Config.
+	FormerLease clock.Millis
+	MaxLease    clock.Millis
 	// Zone of the worker; empty if it is unknown, or if the owner runs a version that does not send it.
 	Zone fleet.ZoneID
 }
@@ -92,7 +95,7 @@
 	Polled                               // the worker responded to a poll
 	Reachable                            // the worker responds to calls
 	Unreachable                          // the worker does not respond to calls
-	IncarnationLost                      // nothing runs on the incarnation any more
+	IncarnationLost                      // nothing runs on the incarnation any more; see worker.Loss
 	LeasesExpired                        // all leases given to the worker's runs have expired
 	FenceRefused                         // the worker has accepted a higher fence
 )
@@ -107,6 +110,7 @@
 	Outcome    schedule.Outcome // of a completed order
 	Report     schedule.Report  // the response to a poll
 	Change     uint64           // number of the ended runs in Report; 0 without any
+	Successor  clock.Millis     // of a lost incarnation; see worker.Loss
 	Detail     string
 }
 
--- a/hosted/claim.go
+++ b/hosted/claim.go
@@ -221,7 +221,7 @@
 		Pool: id, Lease: lease, Table: p.table, Calls: p.calls,
 		Clock: p.Clock, Log: p.Log, Metrics: p.metrics.owner,
 		CPUCores: p.Settings.CPUCores, FinalStateRetention: p.Settings.FinalStateRetention, StopTime: p.Settings.MaxStopTime,
-		PollWait: p.workerPollWait(), MaxRowBytes: p.Settings.MaxRowBytes, FarFactor: p.Settings.FarFactor,
+		PollWait: p.workerPollWait(), MaxRowBytes: p.Settings.MaxRowBytes, MaxLease: p.Settings.MaxLeaseTime, FarFactor: p.Settings.FarFactor,
 		Policy: p.queuePolicy, Limited: p.hasLimit, Weight: p.teamWeight, Advise: p.advise,
 		Evacuated: p.evacuations.Zones, MayStart: p.evacuations.MayStart,
 	})
--- a/hosted/dispatch_wire.go
+++ b/hosted/dispatch_wire.go
@@ -55,6 +55,8 @@
 	Address      string `json:"address"`
 	Incarnation  int64  `json:"born_ms"`
 	FormerLeases int64  `json:"former_leases_ms"`
+	FormerLease  int64  `json:"former_lease_ms,omitempty"` // missing from members of earlier versions, like MaxLease
+	MaxLease     int64  `json:"max_lease_ms,omitempty"`
 	Zone         string `json:"zone,omitempty"`
 }
 
@@ -78,7 +80,8 @@
 	for _, a := range b.Assigned {
 		w.Assigned = append(w.Assigned, wireAssignment{
 			ID: uint64(a.ID), Worker: string(a.Endpoint.ID), Address: a.Endpoint.Address,
-			Incarnation: int64(a.Incarnation), FormerLeases: int64(a.FormerLeases), Zone: string(a.Zone),
+			Incarnation: int64(a.Incarnation), FormerLeases: int64(a.FormerLeases), FormerLease: int64(a.FormerLease), MaxLease: int64(a.MaxLease),
+			Zone: string(a.Zone),
 		})
 	}
 	for i := range b.Orders {
@@ -108,7 +111,8 @@
 		a := &w.Assigned[i]
 		b.Assigned = append(b.Assigned, dispatcher.Assignment{
 			ID: dispatcher.AssignmentID(a.ID), Endpoint: worker.Endpoint{ID: fleet.InstanceID(a.Worker), Address: a.Address},
-			Incarnation: clock.Millis(a.Incarnation), FormerLeases: clock.Millis(a.FormerLeases), Zone: fleet.ZoneID(a.Zone),
+			Incarnation: clock.Millis(a.Incarnation), FormerLeases: clock.Millis(a.FormerLeases), FormerLease: clock.Millis(a.FormerLease),
+			MaxLease: clock.Millis(a.MaxLease), Zone: fleet.ZoneID(a.Zone),
 		})
 	}
 	for i := range w.Orders {
@@ -159,7 +163,8 @@
 	Ended       []wireEnd `json:"ended,omitempty"`
 	Change      uint64    `json:"change,omitempty"`
 
-	Detail string `json:"why,omitempty"`
+	Successor int64  `json:"successor_ms,omitempty"` // missing from members of earlier versions
+	Detail    string `json:"why,omitempty"`
 }
 
 // wireRun is a run that a worker lists as running.
@@ -188,7 +193,7 @@
 }
 
 func encodeEvent(e *dispatcher.Event) wireEvent {
-	w := wireEvent{Kind: uint8(e.Kind), Assignment: uint64(e.Assignment), At: int64(e.At), Detail: e.Detail}
+	w := wireEvent{Kind: uint8(e.Kind), Assignment: uint64(e.Assignment), At: int64(e.At), Successor: int64(e.Successor), Detail: e.Detail}
 	switch e.Kind {
 	case dispatcher.OrderCompleted:
 		w.Order, w.Task, w.Run, w.Outcome = uint8(e.Order.Kind), e.Order.Task.String(), e.Order.Run, uint8(e.Outcome)
@@ -219,7 +224,10 @@
 }
 
 func (w *wireEvent) decode() (dispatcher.Event, error) {
-	e := dispatcher.Event{Kind: dispatcher.EventKind(w.Kind), Assignment: dispatcher.AssignmentID(w.Assignment), At: clock.Millis(w.At), Detail: w.Detail}
+	e := dispatcher.Event{
+		Kind: dispatcher.EventKind(w.Kind), Assignment: dispatcher.AssignmentID(w.Assignment), At: clock.Millis(w.At),
+		Successor: clock.Millis(w.Successor), Detail: w.Detail,
+	}
 	var err error
 	switch e.Kind {
 	case dispatcher.OrderCompleted:
--- a/owner/dispatch.go
+++ b/owner/dispatch.go
@@ -266,7 +266,7 @@
 		s.reachable = e.Kind == dispatcher.Reachable
 		o.pool.SetReachable(s.worker, s.reachable && !d.suspected, e.At+d.offset)
 	case dispatcher.IncarnationLost:
-		o.loseIncarnation(s.worker, e.Detail, now)
+		o.loseIncarnation(s, worker.Loss{Reason: e.Detail, Successor: e.Successor}, now)
 	case dispatcher.LeasesExpired:
 		if o.Lease.Exclusive() {
 			o.expireLeases(s, now)
@@ -314,8 +314,8 @@
 	s.dispatcher, s.assignment, s.own = d, o.assignments, nil
 	d.sessions[s.assignment], d.emptySince = s, 0
 	d.batch.Assigned = append(d.batch.Assigned, dispatcher.Assignment{
-		ID: s.assignment, Endpoint: worker.Endpoint{ID: s.worker, Address: s.address}, Incarnation: s.incarnation, FormerLeases: o.formerLeases(now),
-		Zone: s.zone,
+		ID: s.assignment, Endpoint: worker.Endpoint{ID: s.worker, Address: s.address}, Incarnation: s.incarnation, FormerLeases: o.formerLeases(s.worker, now),
+		FormerLease: o.strayLease(s.worker, now), MaxLease: o.MaxLease, Zone: s.zone,
 	})
 	o.pool.SetDispatcher(s.worker, d.member)
 	wake(d.wakeup)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -32,6 +32,7 @@
 	FinalStateRetention clock.Millis // how long the state of a finished job stays readable
 	StopTime            clock.Millis // longest time that a worker takes to stop a run
 	PollWait            clock.Millis // longest time that a worker delays its response to a poll; see worker.Config
+	MaxLease            clock.Millis // longest lease that workers grant; 0 means worker.DefaultMaxLease
 	MaxRowBytes         int          // largest value of a row of the table; 0 means DefaultMaxRowBytes
 	FarFactor           float64      // see schedule.Config
 	// Policy returns the policy of a queue, and false if this member has read no configuration with the queue.
@@ -81,10 +82,11 @@
 	// The durable version of knownWorkers. A worker is first polled once it is recorded here.
 	savedKnownWorkers map[fleet.InstanceID]knownWorker
 	knownWorkersDirty bool
-	knownRows         int                       // rows of known workers that the store may have
-	unconfirmed       map[fleet.InstanceID]bool // known at the takeover, and no response since
-	endedIncarnations map[fleet.InstanceID]endedIncarnation
-	formerLeasesEnd   clock.Millis // when all leases given by earlier owners have expired
+	knownRows         int                               // rows of known workers that the store may have
+	unconfirmed       map[fleet.InstanceID]bool         // known at the takeover, and no response since
+	endedIncarnations map[incarnation]clock.Millis      // those that have certainly ended, and since when
+	strayLeases       map[fleet.InstanceID]clock.Millis // of restarted workers, when leases end that were meant for an earlier incarnation
+	formerLeasesEnd   clock.Millis                      // when all leases given by earlier owners have expired
 	stopped           bool
 
 	permits     map[fleet.QueueAddress]*rowstore.QueuePermit // queues whose jobs the pool takes
@@ -124,10 +126,13 @@
 	if c.MaxRowBytes == 0 {
 		c.MaxRowBytes = DefaultMaxRowBytes
 	}
+	if c.MaxLease == 0 {
+		c.MaxLease = worker.DefaultMaxLease
+	}
 	o := &Owner{
 		Config: c, listedWorkers: map[fleet.InstanceID]schedule.Worker{}, addresses: map[fleet.InstanceID]string{},
 		sessions: map[fleet.InstanceID]*session{}, knownWorkers: map[fleet.InstanceID]knownWorker{},
-		savedKnownWorkers: map[fleet.InstanceID]knownWorker{}, endedIncarnations: map[fleet.InstanceID]endedIncarnation{},
+		savedKnownWorkers: map[fleet.InstanceID]knownWorker{}, endedIncarnations: map[incarnation]clock.Millis{}, strayLeases: map[fleet.InstanceID]clock.Millis{},
 		reducedProgress: map[job.ID]bool{}, permits: map[fleet.QueueAddress]*rowstore.QueuePermit{}, movedAway: map[fleet.QueueAddress]fleet.Version{}, acquiring: make(chan struct{}, 1),
 		unconfirmed: map[fleet.InstanceID]bool{}, unreadable: map[job.ID]bool{}, submissions: map[job.ID]*submission{},
 		dispatchers: map[fleet.MemberID]*dispatcherRecord{}, dispatcherLeft: make(chan struct{}, 1),
--- a/owner/sessions.go
+++ b/owner/sessions.go
@@ -68,15 +68,16 @@
 	s.cancel = cancel
 	s.own = worker.NewSession(worker.Config{
 		Calls: o.Calls, Endpoint: worker.Endpoint{ID: s.worker, Address: s.address}, Incarnation: s.incarnation, Clock: o.Clock,
-		Fence: o.Lease.Fence(), PollWait: o.PollWait, Log: o.Log, Authorized: o.mayGiveOrders, FormerLeasesEnd: now + o.formerLeases(now),
+		Fence: o.Lease.Fence(), PollWait: o.PollWait, Log: o.Log, Authorized: o.mayGiveOrders, FormerLeasesEnd: now + o.formerLeases(s.worker, now),
+		FormerLease: o.strayLease(s.worker, now), MaxLease: o.MaxLease,
 		MayStart: func() bool { return o.MayStart == nil || o.MayStart(s.zone) },
 		Report:   func(ctx context.Context, r schedule.Report) uint64 { return o.handleReport(ctx, s, r) },
 		Durable:  o.lastDurableChange,
 		Reachable: func(yes bool, since clock.Millis) {
 			o.ifCurrent(s, func(clock.Millis) { o.pool.SetReachable(s.worker, yes, since) })
 		},
-		Lost: func(reason string) {
-			o.ifCurrent(s, func(now clock.Millis) { o.loseIncarnation(s.worker, reason, now) })
+		Lost: func(l worker.Loss) {
+			o.ifCurrent(s, func(now clock.Millis) { o.loseIncarnation(s, l, now) })
 		},
 		Expired:       func() bool { return o.handleExpiredLeases(s) },
 		OnHigherFence: o.handleHigherFence,
@@ -87,6 +88,25 @@
 
 // formerLeases returns the longest time from now for which leases can last that an earlier owner, or
 // a session of this owner that has ended, gave to a worker's runs.
-func (o *Owner) formerLeases(now clock.Millis) clock.Millis {
-	return max(formerLeaseLimit, o.formerLeasesEnd-now)
+func (o *Owner) formerLeases(id fleet.InstanceID, now clock.Millis) clock.Millis {
+	left := max(formerLeaseLimit, o.formerLeasesEnd-now)
+	if end, ok := o.strayLeases[id]; ok {
+		left = max(left, end-now)
+	}
+	return left
+}
+
+// strayLease returns the longest lease that runs on a worker may have beside those that its sessions give, or 0.
+// An incarnation that receives a poll or a start for an earlier one grants the longest lease, to all of its runs: the
+// clock on which that lease was to end has started anew.
+func (o *Owner) strayLease(id fleet.InstanceID, now clock.Millis) clock.Millis {
+	end, ok := o.strayLeases[id]
+	if !ok {
+		return 0
+	}
+	if now >= end {
+		delete(o.strayLeases, id)
+		return 0
+	}
+	return o.MaxLease
 }
--- a/owner/workers.go
+++ b/owner/workers.go
@@ -8,6 +8,7 @@
 	"citronknot/clock"
 	"citronknot/fleet"
 	"citronknot/schedule"
+	"citronknot/worker"
 )
 
 // ListedWorker is a worker as the platform lists it, with the network address at which it is
@@ -36,8 +37,7 @@
 		o.listedWorkers[listed.ID], o.addresses[listed.ID] = listed.Worker, listed.Address
 		recorded, known := o.knownWorkers[listed.ID]
 		if known && recorded.Incarnation != 0 && recorded.Incarnation != listed.Incarnation {
-			o.confirmWorker(listed.ID)
-			o.removeWorker(listed.ID, schedule.LossCrash, "a later incarnation is listed", now)
+			o.replaceIncarnation(listed.ID, worker.Loss{Reason: "a later incarnation is listed", Successor: listed.Incarnation}, now)
 		}
 		if recorded, ok := o.knownWorkers[listed.ID]; !ok || recorded.Incarnation != listed.Incarnation {
 			o.knownWorkers[listed.ID] = knownWorker{Incarnation: listed.Incarnation, Address: listed.Address, Unused: true}
@@ -104,12 +104,11 @@
 	wake(o.commitWake)
 }
 
-// endedIncarnation is an incarnation of a worker that has certainly ended, because its machine was
-// moved or taken down, or because another one has answered in its place. The platform may still list it
-// for a while.
-type endedIncarnation struct {
-	incarnation clock.Millis // its start time
-	since       clock.Millis
+// incarnation is one life of a worker. One that has certainly ended, because its machine was moved or taken
+// down, or because another one has answered in its place, may be listed by the platform for a while.
+type incarnation struct {
+	worker fleet.InstanceID
+	born   clock.Millis // its start time
 }
 
 // endedRetention is how long an ended incarnation is remembered. The platform removes the entry of a
@@ -117,24 +116,56 @@
 const endedRetention clock.Millis = 60_000
 
 // recordEnded records that an incarnation of a worker has ended.
-func (o *Owner) recordEnded(id fleet.InstanceID, incarnation, now clock.Millis) {
-	maps.DeleteFunc(o.endedIncarnations, func(_ fleet.InstanceID, e endedIncarnation) bool { return now-e.since > endedRetention })
-	o.endedIncarnations[id] = endedIncarnation{incarnation: incarnation, since: now}
+func (o *Owner) recordEnded(id fleet.InstanceID, born, now clock.Millis) {
+	maps.DeleteFunc(o.endedIncarnations, func(_ incarnation, since clock.Millis) bool { return now-since > endedRetention })
+	o.endedIncarnations[incarnation{worker: id, born: born}] = now
 }
 
 // hasEnded reports whether an incarnation of a worker is known to have ended.
-func (o *Owner) hasEnded(id fleet.InstanceID, incarnation clock.Millis) bool {
-	ended, ok := o.endedIncarnations[id]
-	return ok && ended.incarnation == incarnation
+func (o *Owner) hasEnded(id fleet.InstanceID, born clock.Millis) bool {
+	_, ended := o.endedIncarnations[incarnation{worker: id, born: born}]
+	return ended
 }
 
 // loseIncarnation removes an incarnation of which a session has found that it has ended.
-func (o *Owner) loseIncarnation(id fleet.InstanceID, reason string, now clock.Millis) {
+func (o *Owner) loseIncarnation(s *session, l worker.Loss, now clock.Millis) {
+	if l.Successor != 0 {
+		o.replaceIncarnation(s.worker, l, now)
+		return
+	}
+	o.recordEnded(s.worker, s.incarnation, now)
+	o.confirmWorker(s.worker)
+	o.removeWorker(s.worker, schedule.LossCrash, l.Reason, now)
+}
+
+// replaceIncarnation records that a worker has started again under its id. Its successor may have carried
+// out orders that were meant for the ended incarnation, and may yet carry out those without an answer. If there are
+// such orders, or if an earlier owner may have given some, the successor is polled at once, and its tasks wait until
+// it has listed them, or until the leases that it may have given them have expired. It gets no starts before
+// the platform lists it and its record is durable.
+func (o *Owner) replaceIncarnation(id fleet.InstanceID, l worker.Loss, now clock.Millis) {
+	former := o.knownWorkers[id]
+	o.recordEnded(id, former.Incarnation, now)
+	o.strayLeases[id] = now + worker.MaxElapsed(o.MaxLease) + formerLeaseSlack
+	kept := o.pool.UnprovenRuns(id)
+	if kept == 0 && !o.unconfirmed[id] {
+		o.removeWorker(id, schedule.LossCrash, l.Reason, now)
+		return
+	}
+	o.pool.RestartWorker(id, l.Successor, l.Reason, now)
+	o.Log.Info("owner: a restarted worker may have runs of its former incarnation", "pool", o.Pool, "fence", o.Lease.Fence(), "worker", id, "runs", kept)
+	if o.unconfirmed[id] {
+		o.formerLeasesEnd = max(o.formerLeasesEnd, o.strayLeases[id])
+	}
+	o.knownWorkers[id] = knownWorker{Incarnation: l.Successor, Address: former.Address}
+	o.knownWorkersDirty = true
+	wake(o.commitWake)
+	successor := &session{worker: id, incarnation: l.Successor, address: former.Address}
 	if s := o.sessions[id]; s != nil {
-		o.recordEnded(id, s.incarnation, now)
+		successor.address, successor.zone = s.address, s.zone
+		o.endSession(s)
 	}
-	o.confirmWorker(id)
-	o.removeWorker(id, schedule.LossCrash, reason, now)
+	o.startSession(successor, now)
 }
 
 // handleExpiredLeases records that the leases given to a worker have expired, and reports whether
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -24,13 +24,14 @@
 	crash job.Crash // as it counts if the worker has crashed
 }
 
-// lostRuns returns what a crash of the worker says of each of its runs; those of a gang count once.
+// lostRuns returns what a crash of the worker says of each of its runs; those of a gang count once. Runs that
+// may have been lost with a former incarnation do not count.
 func (w *worker) lostRuns(now clock.Millis) []lostRun {
 	units := map[*task]bool{}
 	out := make([]lostRun, 0, len(w.tasks))
 	started := map[*Job]bool{} // jobs with a run that had just been started
 	for _, t := range w.sortedTasks() {
-		if t.state != recording && !units[t.unit()] {
+		if t.state != recording && t.keptSince == 0 && !units[t.unit()] {
 			units[t.unit()] = true
 			l := lostRun{task: t, crash: w.crashOf(t, now)}
 			if l.crash.Age <= startupTime {
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -58,11 +58,15 @@
 // RemoveWorker and [Pool.ExpireLeases] end runs without a response of their worker. A worker that was
 // leaving has not crashed, whatever cause says.
 func (p *Pool) RemoveWorker(id fleet.InstanceID, cause LossCause, reason string, now clock.Millis) {
-	w := p.workers[id]
-	if w == nil {
-		return
+	if w := p.workers[id]; w != nil {
+		p.removeWorker(w, w.lostRuns(now), cause, reason, now)
 	}
-	if cause == LossCrash && (w.Draining || w.cordoned) {
+}
+
+// removeWorker removes a worker with the given runs.
+func (p *Pool) removeWorker(w *worker, lost []lostRun, cause LossCause, reason string, now clock.Millis) {
+	id := w.ID
+	if cause == LossCrash && w.isLeaving() {
 		cause = LossExpected
 	}
 	delete(p.workers, id)
@@ -81,7 +85,7 @@
 		p.resolveDoubt(id, cause == LossCrash, now)
 		p.resolveTrials(w, cause == LossCrash, now)
 	}
-	p.endAllRuns(w, cause, now)
+	p.endAllRuns(w, lost, cause, now)
 }
 
 // ExpireLeases records that the leases of all runs on a worker have expired. The worker stays in
@@ -89,13 +93,13 @@
 func (p *Pool) ExpireLeases(id fleet.InstanceID, now clock.Millis) {
 	if w := p.workers[id]; w != nil && len(w.tasks) > 0 {
 		p.emit(Event{Kind: "worker_lapsed", Worker: id, Machine: w.Machine, Rack: w.Rack, Loss: w.loss(LossSilent, now)})
-		p.endAllRuns(w, LossSilent, now)
+		p.endAllRuns(w, w.lostRuns(now), LossSilent, now)
 	}
 }
 
-// endAllRuns frees the tasks that occupy a worker and requeues or blocks them.
-func (p *Pool) endAllRuns(w *worker, cause LossCause, now clock.Millis) {
-	lost := w.lostRuns(now)
+// endAllRuns frees the tasks that occupy a worker and requeues or blocks them. lost are the runs that are lost
+// with the worker.
+func (p *Pool) endAllRuns(w *worker, lost []lostRun, cause LossCause, now clock.Millis) {
 	tasks := w.sortedTasks()
 	w.unexpected = nil
 	w.index.update(w)
@@ -105,6 +109,10 @@
 		}
 	}
 	for _, t := range tasks {
+		if t.keptSince != 0 {
+			p.freeUnstarted(t, now)
+			continue
+		}
 		p.unassign(t, now)
 		t.lastAbsence = AbsentLost
 		p.requeueOrBlock(t, now)
@@ -147,6 +155,7 @@
 		return
 	}
 	w.responded, w.respondedAt = true, now
+	w.aliveAt = max(w.aliveAt, r.RequestedAt, r.ListedAt)
 	if len(r.Ended) > 0 {
 		w.fullUntil = 0
 	}
@@ -162,24 +171,34 @@
 	}
 	p.byFreeCPU.update(w)
 	p.resolveTrials(w, false, now)
-	p.freeWithdrawnStarts(w, &r, now)
+	p.freeUnlistedRuns(w, &r, now)
 }
 
-// freeWithdrawnStarts frees tasks whose withdrawn start has certainly not taken effect and
-// never will: the worker accepted the stop before the poll was sent, and does not list the
-// run.
-func (p *Pool) freeWithdrawnStarts(w *worker, r *Report, now clock.Millis) {
+// freeUnlistedRuns frees tasks whose run is certainly not on the worker and never will be: the worker
+// accepted the stop of a withdrawn start before the poll was sent and does not list the run, or the run was on
+// a former incarnation.
+func (p *Pool) freeUnlistedRuns(w *worker, r *Report, now clock.Millis) {
 	for t := range w.tasks {
-		if t.state != stopping || !t.stopAccepted || t.stopAcceptedAt > r.RequestedAt {
-			continue
-		}
-		if !slices.ContainsFunc(r.Running, func(run RunReport) bool { return run.Task == t.ref() && run.Run == t.run }) {
-			p.unassign(t, now)
-			p.requeueOrBlock(t, now)
+		switch {
+		case t.keptSince != 0 && t.listedAt >= t.keptSince:
+			t.confirmKept()
+		case t.isAbsentKept(r) || (t.isStopAccepted(r) && !r.lists(t)):
+			p.freeUnstarted(t, now)
 		}
 	}
 }
 
+// isStopAccepted reports whether the worker accepted the stop of the task's run before a poll was sent, and
+// the call that ordered the start had ended.
+func (t *task) isStopAccepted(r *Report) bool {
+	return t.state == stopping && t.stopAccepted && max(t.stopAcceptedAt, t.callEnds) <= r.RequestedAt
+}
+
+// lists reports whether a task's newest run is listed as running.
+func (r *Report) lists(t *task) bool {
+	return slices.ContainsFunc(r.Running, func(run RunReport) bool { return run.Task == t.ref() && run.Run == t.run })
+}
+
 // find returns the task that a reference names, or nil.
 func (p *Pool) find(ref job.Ref) *task {
 	j := p.jobs[ref.Job]
@@ -474,7 +493,13 @@
 func (p *Pool) Answered(o Order, outcome Outcome, now clock.Millis) {
 	w := p.workers[o.Worker]
 	t := p.find(o.Task)
-	if w == nil || t == nil || w.Incarnation != o.Incarnation || t.worker != w || t.run != o.Run {
+	if w == nil || t == nil || t.worker != w || t.run != o.Run {
+		return
+	}
+	if w.Incarnation != o.Incarnation {
+		if o.Kind == Start && t.keptSince != 0 {
+			p.keptAnswered(t, outcome, now)
+		}
 		return
 	}
 	switch {
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -384,6 +384,7 @@
 		return
 	}
 	t.worker.release(t)
+	t.confirmKept()
 	t.step.job.share.charge(t.needs().Scale(-1), now)
 	p.countWork(t, t.state != done && !t.step.job.state.Final())
 	team := t.step.job.Team
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -63,6 +63,14 @@
 	far           bool       // the newest run was started far from the data or from the rest of the step
 	wait          *placeWait // for a near place; nil if it does not wait for one
 	placedSuspect bool       // suspected when it was assigned to its worker
+	// keptSince is when the worker's former incarnation ended, if the newest run was ordered from that one and
+	// the worker has not listed it yet; otherwise 0. formerCrash is the crash that counts if the run was
+	// lost in it.
+	keptSince   clock.Millis
+	formerCrash *job.Crash
+	// callEnds is when the call that ordered such a run has certainly ended. Until then each successor of
+	// the worker may carry it out.
+	callEnds clock.Millis
 	// Of a task, or of the first task of a gang:
 	suspicion   suspicion
 	doubtWeight int // of runs lost with workers that were silent and may have crashed; see crashWeight
--- a/schedule/trial.go
+++ b/schedule/trial.go
@@ -248,6 +248,9 @@
 // isOver reports whether a trial is over: its runs have ended, or have gone on for aloneTime.
 func (tr *trial) isOver(now clock.Millis) bool {
 	return !slices.ContainsFunc(tr.starts, func(s trialStart) bool {
+		if s.task.keptSince != 0 {
+			return true // it may have crashed its worker, or be on its successor
+		}
 		return s.task.worker == s.worker && (now-tr.since < aloneTime || !s.worker.reachable)
 	})
 }
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -39,6 +39,7 @@
 	unreachableSince clock.Millis
 	respondedAt      clock.Millis // when its latest response to a poll was processed
 	listedAt         clock.Millis // when its newest list of running runs was made, or shortly before
+	aliveAt          clock.Millis // the worker has certainly made a response at this time or later
 	cordoned         bool         // takes no new tasks, as its machine is to move or to be maintained
 	cordonedAt       clock.Millis
 	evacuated        bool // takes no starts, as its zone is being evacuated
@@ -87,6 +88,9 @@
 // evacuated.
 func (w *worker) isBeingEmptied() bool { return w.cordoned || w.Draining || w.evacuated }
 
+// isLeaving reports whether the worker is to end soon, so that its end is no crash.
+func (w *worker) isLeaving() bool { return w.Draining || w.cordoned }
+
 // sortedTasks returns the tasks that occupy the worker, in the order of their references.
 func (w *worker) sortedTasks() []*task {
 	return slices.SortedFunc(maps.Keys(w.tasks), func(a, b *task) int { return cmp.Compare(a.ref().String(), b.ref().String()) })
--- a/worker/lease.go
+++ b/worker/lease.go
@@ -17,8 +17,17 @@
 	until       clock.Millis // latest end of the lease that was ever sent, on the worker's clock
 	extendedAt  clock.Millis // local time of the newest extension
 	formerEnd   clock.Millis // see Config.FormerLeasesEnd
+	formerLease clock.Millis // longest lease that runs may have at the first response
+	strayEnd    clock.Millis // local time by which runs end that a later incarnation has accepted; 0 if there are none
 }
 
+// DefaultMaxLease is the longest lease that workers grant, unless Config.MaxLease says otherwise.
+const DefaultMaxLease clock.Millis = 10_000
+
+// clockSlack is how much further behind than its rate allows a worker's clock may seem, because times are
+// rounded.
+const clockSlack clock.Millis = 20
+
 // formerOwnerSlack is how much later than LeaseLength from now a lease can end that the former owner
 // extended. That owner computed the worker's clock from a response up to a second old, on a local
 // clock that runs faster than the worker's.
@@ -35,11 +44,26 @@
 		return
 	}
 	if !l.clockKnown {
-		l.until = workerClock + LeaseLength + formerOwnerSlack
+		l.until = workerClock + max(LeaseLength+formerOwnerSlack, l.formerLease)
 	}
 	l.clockKnown, l.workerClock, l.receivedAt, l.requestedAt = true, workerClock, now, requestedAt
 }
 
+// isStray reports whether a response to a call that was sent at requestedAt comes from another incarnation than
+// the former responses: a later one, whose clock has started anew. An answer may overtake others, and it was
+// made after its call was sent.
+func (l *lease) isStray(workerClock, requestedAt clock.Millis) bool {
+	if !l.clockKnown || workerClock == 0 {
+		return false
+	}
+	earliest := l.workerClock + min(requestedAt-l.receivedAt, (requestedAt-l.receivedAt)*(100-DriftPercent)/100)
+	return workerClock+clockSlack < earliest
+}
+
+// observeStray records that a later incarnation has accepted an order. The end of the lease in an order is
+// far ahead on its clock, so that its runs get the longest lease.
+func (l *lease) observeStray(maxLease, now clock.Millis) { l.strayEnd = now + MaxElapsed(maxLease) }
+
 // responseTime returns a local time at or after which the worker made a response with the given time on
 // its clock. The call was sent at requestedAt and may have been held open. The worker read its clock after
 // each call was sent, and its clock is never fast, so the largest difference seen is the closest one.
@@ -68,7 +92,11 @@
 	if !l.clockKnown {
 		return l.formerEnd
 	}
-	return l.receivedAt + MaxElapsed(l.until-l.workerClock)
+	end := l.receivedAt + MaxElapsed(l.until-l.workerClock)
+	if l.strayEnd != 0 {
+		end = max(end, l.strayEnd)
+	}
+	return end
 }
 
 // MaxElapsed returns the longest true time in which a worker's clock advances by d.
--- a/worker/session.go
+++ b/worker/session.go
@@ -36,7 +36,12 @@
 	// FormerLeasesEnd is the local time at which the leases that earlier sessions gave have expired
 	// if the worker never responds to this session. 0 means that it is unknown.
 	FormerLeasesEnd clock.Millis
-	Log             *slog.Logger
+	// FormerLease is the longest lease that runs may have when the worker first responds to this session,
+	// if that is longer than those that sessions give.
+	FormerLease clock.Millis
+	// MaxLease is the longest lease that the worker grants; 0 means DefaultMaxLease.
+	MaxLease clock.Millis
+	Log      *slog.Logger
 
 	// Authorized reports whether orders may be sent and leases renewed.
 	Authorized func() bool
@@ -51,8 +56,9 @@
 	// Reachable is called when the worker becomes reachable or unreachable. since is when it began or
 	// stopped to respond.
 	Reachable func(yes bool, since clock.Millis)
-	// Lost is called once, when it is certain that nothing runs on the incarnation any more.
-	Lost func(reason string)
+	// Lost is called once, when it is certain that nothing runs on the incarnation any more. Orders that this
+	// session has sent may have been carried out by its successor, or may yet be.
+	Lost func(l Loss)
 	// Expired is called when all leases that this session gave have expired. It reports whether
 	// the expiry was recorded; if not, it is called again. Once it was recorded, the session sends
 	// no starts, and is to be replaced by another one.
@@ -61,6 +67,12 @@
 	OnHigherFence func()
 }
 
+// Loss describes the end of an incarnation.
+type Loss struct {
+	Reason    string
+	Successor clock.Millis // the incarnation that has started under its id; 0 if none is known
+}
+
 // Session polls one incarnation of a worker and sends it orders, while this member holds the
 // owner lease with the fence in Config.
 type Session struct {
@@ -76,7 +88,7 @@
 	respondedAt     clock.Millis // when the worker last responded
 	silentSince     clock.Millis // when it stopped responding, if polls have failed since
 	expired         bool         // Expired has recorded the expiry of the lease
-	startsBlocked   bool         // Expired may have recorded it; see Order
+	startsBlocked   bool         // Expired may have recorded it, or the incarnation is lost; see Order
 	listed          bool         // a report has contained the running runs; the latest one was requested at listedAt
 	listedAt        clock.Millis
 }
@@ -92,7 +104,10 @@
 	if c.PollWait == 0 {
 		c.PollWait = defaultPollWait
 	}
-	return &Session{Config: c, lease: lease{formerEnd: c.FormerLeasesEnd}}
+	if c.MaxLease == 0 {
+		c.MaxLease = DefaultMaxLease
+	}
+	return &Session{Config: c, lease: lease{formerEnd: c.FormerLeasesEnd, formerLease: c.FormerLease}}
 }
 
 // Run polls the worker until ctx ends, the incarnation is lost, or the worker refuses the fence.
@@ -127,10 +142,10 @@
 	}
 	switch {
 	case listing.Result == OtherIncarnation:
-		s.Lost("another incarnation responds at its address")
+		s.lose(Loss{Reason: "another incarnation responds at its address"})
 		return false
 	case s.Incarnation != 0 && listing.Incarnation != 0 && listing.Incarnation != s.Incarnation:
-		s.Lost("it has restarted")
+		s.lose(Loss{Reason: "it has restarted", Successor: listing.Incarnation})
 		return false
 	case listing.Result == FenceTooOld:
 		s.OnHigherFence()
@@ -150,11 +165,22 @@
 	return true
 }
 
+// lose reports that the incarnation has ended. No start is sent any more: its successor would carry it out.
+func (s *Session) lose(l Loss) {
+	s.mu.Lock()
+	s.startsBlocked = true
+	s.mu.Unlock()
+	s.Lost(l)
+}
+
 // nextPoll returns the next poll. The first one renews no lease: it only reads the worker's clock.
 func (s *Session) nextPoll(now clock.Millis) PollRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	order := PollRequest{Fence: s.Fence, AcknowledgedThrough: s.durableThrough}
+	order := PollRequest{Fence: s.Fence}
+	if s.failedPolls == 0 { // otherwise the worker may have restarted, and its ended runs have other numbers
+		order.AcknowledgedThrough = s.durableThrough
+	}
 	// A poll of an unreachable worker does not renew the lease: it may arrive without a response,
 	// and the lease of an unresponsive worker has to expire.
 	if s.lease.clockKnown && s.reachable {
@@ -300,13 +326,30 @@
 		s.Log.Warn("worker: no response to an order", "order", o.Kind.String(), "task", o.Task.String(), "run", o.Run, "worker", s.Endpoint.ID, "err", err)
 		return schedule.UnknownOutcome, 0
 	}
+	if !s.recordAnswer(&answer, requestedAt) {
+		s.Log.Warn("worker: a later incarnation has answered an order", "order", o.Kind.String(), "task", o.Task.String(), "run", o.Run, "worker", s.Endpoint.ID)
+		if answer.Result == Done {
+			return schedule.UnknownOutcome, answer.Result
+		}
+	}
+	return s.outcome(answer.Result), answer.Result
+}
+
+// recordAnswer records that the worker has answered an order, and its clock. It returns false if a later
+// incarnation has answered.
+func (s *Session) recordAnswer(answer *Reply, requestedAt clock.Millis) bool {
+	now := s.Clock.Now()
 	s.mu.Lock()
-	s.respondedAt = s.Clock.Now()
+	defer s.mu.Unlock()
+	if s.lease.isStray(answer.Clock, requestedAt) {
+		s.lease.observeStray(s.MaxLease, now)
+		return false
+	}
+	s.respondedAt = now
 	if answer.Clock != 0 {
-		s.lease.observeClock(answer.Clock, requestedAt, s.respondedAt)
+		s.lease.observeClock(answer.Clock, requestedAt, now)
 	}
-	s.mu.Unlock()
-	return s.outcome(answer.Result), answer.Result
+	return true
 }
 
 // send makes the call for an order. A start renews the worker's lease as well. No other function sends
