--- a/owner/commit.go
+++ b/owner/commit.go
@@ -136,6 +136,9 @@
 		if !k.Unused {
 			o.unconfirmed[id] = true
 		}
+		if k.Restarted {
+			o.expectStrayLeases(id, now+o.Lease.FormerOrders())
+		}
 		o.followWorker(ListedWorker{Worker: schedule.Worker{ID: id, Incarnation: k.Incarnation}, Address: k.Address}, now)
 		o.pool.Unlist(id, now)
 	}
--- a/owner/fake_fleet_test.go
+++ b/owner/fake_fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -102,14 +103,15 @@
 	f.afterPoll = called
 }
 
-// advance ends the runs of a life whose lease has expired or that are done.
+// advance ends the runs of a life that are done or whose lease has expired by now.
 func (f *fakeFleet) advance(l *fakeLife) {
-	now, expired := f.now(), l.lease != 0 && f.now() > l.lease
-	for _, r := range append([]*fakeRun(nil), l.running...) {
+	now := f.now()
+	for _, r := range slices.Clone(l.running) {
+		doneAt := r.begin + clock.MillisOf(f.runTime)
 		switch {
-		case f.runTime > 0 && now >= r.begin+clock.MillisOf(f.runTime):
-			l.finish(r, schedule.EndDone, min(now, r.begin+clock.MillisOf(f.runTime)))
-		case expired:
+		case f.runTime > 0 && now >= doneAt && doneAt <= l.lease:
+			l.finish(r, schedule.EndDone, doneAt)
+		case now > l.lease:
 			l.finish(r, schedule.EndExpired, l.lease)
 		}
 	}
@@ -118,12 +120,7 @@
 // finish ends a run.
 func (l *fakeLife) finish(r *fakeRun, kind schedule.EndKind, now clock.Millis) {
 	r.end, r.kind = max(now, 1), kind
-	for i, o := range l.running {
-		if o == r {
-			l.running = append(l.running[:i:i], l.running[i+1:]...)
-			break
-		}
-	}
+	l.running = slices.DeleteFunc(l.running, func(o *fakeRun) bool { return o == r })
 	l.ends++
 	l.over = append(l.over, r)
 	l.ended = append(l.ended, worker.EndedRun{Number: l.ends, EndReport: schedule.EndReport{Task: r.task, Run: r.run, Kind: kind}})
@@ -236,7 +233,7 @@
 		l.over[0].forgotten = true
 		l.ended, l.over = l.ended[1:], l.over[1:]
 	}
-	response := worker.PollResponse{Reply: f.reply(l, worker.Done), Incarnation: l.born + 1, Ended: append([]worker.EndedRun(nil), l.ended...)}
+	response := worker.PollResponse{Reply: f.reply(l, worker.Done), Incarnation: l.born + 1, Ended: slices.Clone(l.ended)}
 	for _, r := range l.running {
 		response.Running = append(response.Running, schedule.RunReport{Task: r.task, Run: r.run})
 	}
--- a/owner/known_workers.go
+++ b/owner/known_workers.go
@@ -20,6 +20,8 @@
 	// Unused says that no start was sent to it. The platform lists workers for some seconds after they have
 	// ended; without the mark, the next owner would wait for them before it starts recovered tasks.
 	Unused bool
+	// Restarted says that its runs may have longer leases than those that owners give; see Owner.strayLease.
+	Restarted bool
 }
 
 // wireKnownWorker is a knownWorker as it is stored.
@@ -27,6 +29,7 @@
 	Incarnation int64  `json:"born_ms"`
 	Address     string `json:"address"`
 	Unused      bool   `json:"unused,omitempty"` // missing in rows of earlier versions, whose workers count as used
+	Restarted   bool   `json:"restarted,omitempty"`
 }
 
 // knownKeyOf returns the key of the ith row of known workers.
@@ -63,7 +66,7 @@
 				return nil, err
 			}
 		}
-		wire[string(id)] = wireKnownWorker{Incarnation: int64(k.Incarnation), Address: k.Address, Unused: k.Unused}
+		wire[string(id)] = wireKnownWorker{Incarnation: int64(k.Incarnation), Address: k.Address, Unused: k.Unused, Restarted: k.Restarted}
 		size += entry
 	}
 	if err := flush(); err != nil {
@@ -83,7 +86,7 @@
 	}
 	out := make(map[fleet.InstanceID]knownWorker, len(wire))
 	for id, k := range wire {
-		out[fleet.InstanceID(id)] = knownWorker{Incarnation: clock.Millis(k.Incarnation), Address: k.Address, Unused: k.Unused}
+		out[fleet.InstanceID(id)] = knownWorker{Incarnation: clock.Millis(k.Incarnation), Address: k.Address, Unused: k.Unused, Restarted: k.Restarted}
 	}
 	return out, nil
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -251,6 +251,7 @@
 	now := o.Clock.Now()
 	o.noticeSuspension(now)
 	o.finishRecovery(now)
+	o.forgetStrayLeases(now)
 	o.checkDispatchers(now)
 	o.divide(now)
 	o.updateEvacuated(now)
--- a/owner/restart_test.go
+++ b/owner/restart_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -17,11 +18,24 @@
 	"citronknot/fleet"
 	"citronknot/job"
 	"citronknot/owner"
+	"citronknot/rowstore"
 	"citronknot/worker"
 )
 
 var restartCapacity = job.Resources{CPU: 1000, Memory: 1000}
 
+// listOthers returns the workers as the platform lists them, but for one that has no entry.
+func (f *fakeFleet) listOthers(id fleet.InstanceID) []owner.ListedWorker {
+	return slices.DeleteFunc(f.list(restartCapacity), func(w owner.ListedWorker) bool { return w.ID == id })
+}
+
+// knownWorkers returns the row of the known workers.
+func (s *fakeStore) knownWorkers() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.rows[rowstore.Ref{Table: "workers", Partition: "p", Key: "known"}].Value)
+}
+
 // submitTasks submits a job of tasks that each take 100 of the 1000 millicores of a worker.
 func submitTasks(t *testing.T, o *runningOwner, id job.ID, tasks int) {
 	t.Helper()
@@ -94,7 +108,7 @@
 			must.NoError(t, err)
 			workers.setAfterPoll(func(id fleet.InstanceID) { workers.setCut(id, cut && id == "w0") })
 			poolOwner := startOwner(t, owner.Config{Table: store.table(), Calls: workers.calls(), FinalStateRetention: 120_000})
-			poolOwner.SetWorkers(workers.list(restartCapacity)[1:])
+			poolOwner.SetWorkers(workers.listOthers("w0"))
 			time.Sleep(40 * time.Second)
 			must.Eq(t, "", workers.doubled())
 			status, _, err := poolOwner.Status(t.Context(), ref.Job)
@@ -105,6 +119,53 @@
 	}
 }
 
+// Guards against a second run of a task after a takeover: the former owner had learned of a worker's restart, and
+// the worker is cut off before the takeover. Its runs may have the longest lease.
+func TestTakeoverWaitsForLeasesOfRestartedWorkers(t *testing.T) {
+	for _, c := range []struct {
+		mark  string
+		waits bool
+	}{{"", false}, {`,"restarted":true`, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			store := newStoreToRecover(t)
+			store.put("workers", "known", []byte(`{"w0":{"born_ms":1,"address":"a"`+c.mark+`}}`))
+			workers := newFakeFleet(4)
+			workers.runTime = 20 * time.Second
+			ref := job.Ref{Job: "00000000000000aa"}
+			_, err := workers.start(t.Context(), worker.Endpoint{ID: "w0"}, worker.StartOrder{Task: ref, Run: 1, LeaseUntil: 60_000})
+			must.NoError(t, err)
+			workers.setCut("w0", true)
+			poolOwner := startOwner(t, owner.Config{Table: store.table(), Calls: workers.calls(), FinalStateRetention: 120_000})
+			poolOwner.SetWorkers(workers.listOthers("w0"))
+			time.Sleep(60 * time.Second)
+			must.Eq(t, c.waits, workers.doubled() == "", must.Sprint(c.mark, workers.doubled()))
+			status, _, err := poolOwner.Status(t.Context(), ref.Job)
+			must.NoError(t, err)
+			must.Eq(t, job.Complete, status.State)
+			must.True(t, errors.Is(poolOwner.stop(), context.Canceled))
+		})
+	}
+}
+
+// Guards against a mark of a restarted worker that stays, so that each later takeover waits for it longer.
+func TestMarkOfRestartedWorkerIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		workers := newFakeFleet(1)
+		poolOwner := startOwner(t, owner.Config{Table: store.table(), Calls: workers.calls()})
+		poolOwner.SetWorkers(workers.list(restartCapacity))
+		time.Sleep(time.Second)
+		workers.restart("w0")
+		poolOwner.SetWorkers(workers.list(restartCapacity))
+		time.Sleep(time.Second)
+		must.StrContains(t, store.knownWorkers(), `"restarted":true`)
+		time.Sleep(12 * time.Second)
+		must.StrContains(t, store.knownWorkers(), "w0")
+		must.StrNotContains(t, store.knownWorkers(), "restarted")
+		must.True(t, errors.Is(poolOwner.stop(), context.Canceled))
+	})
+}
+
 // Guards against the same under restarts, cuts and late orders at any moment.
 func TestRestartsAndCutsDoubleNoRun(t *testing.T) {
 	for seed := range uint64(60) {
--- a/owner/sessions.go
+++ b/owner/sessions.go
@@ -100,13 +100,34 @@
 // An incarnation that receives a poll or a start for an earlier one grants the longest lease, to all of its runs: the
 // clock on which that lease was to end has started anew.
 func (o *Owner) strayLease(id fleet.InstanceID, now clock.Millis) clock.Millis {
-	end, ok := o.strayLeases[id]
-	if !ok {
+	if end, ok := o.strayLeases[id]; !ok || now >= end {
 		return 0
 	}
-	if now >= end {
+	return o.MaxLease
+}
+
+// expectStrayLeases records that runs on a worker may have the longest lease, granted at a given time or before. A
+// recovery that waits for the worker waits until that has expired.
+func (o *Owner) expectStrayLeases(id fleet.InstanceID, grantedAt clock.Millis) {
+	end := grantedAt + worker.MaxElapsed(o.MaxLease) + formerLeaseSlack
+	o.strayLeases[id] = end
+	if o.unconfirmed[id] {
+		o.formerLeasesEnd = max(o.formerLeasesEnd, end)
+	}
+}
+
+// forgetStrayLeases removes the marks of restarted workers whose runs have no longer leases any more.
+func (o *Owner) forgetStrayLeases(now clock.Millis) {
+	for id, end := range o.strayLeases {
+		if now < end {
+			continue
+		}
 		delete(o.strayLeases, id)
-		return 0
+		if k, known := o.knownWorkers[id]; known && k.Restarted {
+			k.Restarted = false
+			o.knownWorkers[id] = k
+			o.knownWorkersDirty = true
+			wake(o.commitWake)
+		}
 	}
-	return o.MaxLease
 }
--- a/owner/workers.go
+++ b/owner/workers.go
@@ -40,7 +40,8 @@
 			o.replaceIncarnation(listed.ID, worker.Loss{Reason: "a later incarnation is listed", Successor: listed.Incarnation}, now)
 		}
 		if recorded, ok := o.knownWorkers[listed.ID]; !ok || recorded.Incarnation != listed.Incarnation {
-			o.knownWorkers[listed.ID] = knownWorker{Incarnation: listed.Incarnation, Address: listed.Address, Unused: true}
+			_, restarted := o.strayLeases[listed.ID]
+			o.knownWorkers[listed.ID] = knownWorker{Incarnation: listed.Incarnation, Address: listed.Address, Unused: true, Restarted: restarted}
 			o.knownWorkersDirty = true
 			wake(o.commitWake)
 		}
@@ -146,7 +147,7 @@
 func (o *Owner) replaceIncarnation(id fleet.InstanceID, l worker.Loss, now clock.Millis) {
 	former := o.knownWorkers[id]
 	o.recordEnded(id, former.Incarnation, now)
-	o.strayLeases[id] = now + worker.MaxElapsed(o.MaxLease) + formerLeaseSlack
+	o.expectStrayLeases(id, now)
 	kept := o.pool.UnprovenRuns(id)
 	if kept == 0 && !o.unconfirmed[id] {
 		o.removeWorker(id, schedule.LossCrash, l.Reason, now)
@@ -154,10 +155,7 @@
 	}
 	o.pool.RestartWorker(id, l.Successor, l.Reason, now)
 	o.Log.Info("owner: a restarted worker may have runs of its former incarnation", "pool", o.Pool, "fence", o.Lease.Fence(), "worker", id, "runs", kept)
-	if o.unconfirmed[id] {
-		o.formerLeasesEnd = max(o.formerLeasesEnd, o.strayLeases[id])
-	}
-	o.knownWorkers[id] = knownWorker{Incarnation: l.Successor, Address: former.Address}
+	o.knownWorkers[id] = knownWorker{Incarnation: l.Successor, Address: former.Address, Restarted: true}
 	o.knownWorkersDirty = true
 	wake(o.commitWake)
 	successor := &session{worker: id, incarnation: l.Successor, address: former.Address}
