--- a/schedule/job.go
+++ b/schedule/job.go
@@ -53,6 +53,18 @@
 	return nil
 }
 
+// countUnfinished returns the number of steps that are not done, of those with the given indexes. A step counts
+// once, however often it is named.
+func (o *occurrence) countUnfinished(indexes []int) int {
+	n := 0
+	for i, index := range indexes {
+		if !o.steps[index].finished() && !slices.Contains(indexes[:i], index) {
+			n++
+		}
+	}
+	return n
+}
+
 // State returns the job's durable state, which is the one that callers see.
 func (j *Job) State() job.State { return j.durableState }
 
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -219,11 +219,7 @@
 	}
 	j.occurrences = append(j.occurrences, o)
 	for _, s := range o.steps {
-		for _, a := range s.spec.After {
-			if !o.steps[a].finished() {
-				s.blockedBy++
-			}
-		}
+		s.blockedBy += o.countUnfinished(s.spec.After)
 		if s.finished() {
 			o.remainingSteps--
 		}
--- a/schedule/pool_test.go
+++ b/schedule/pool_test.go
@@ -256,3 +256,16 @@
 	must.NotEq(t, job.Failed, next.jobState(1))
 	must.Len(t, 1, next.acceptStarts(10))
 }
+
+// Guards against a step that never starts because it names an earlier step twice.
+func TestStepThatIsNamedTwiceBlocksOnce(t *testing.T) {
+	h := newHarness(t, 1)
+	h.pool.Add(newJob(1, newStep(2), newStep(1), newStep(1, 0, 1, 0, 0)), testPolicy, nil, 0, 0)
+	first := h.acceptStarts(1)
+	must.Len(t, 3, first)
+	for _, o := range first {
+		must.SliceEmpty(t, h.acceptStarts(1))
+		h.reportEnd(o, schedule.EndDone)
+	}
+	must.Len(t, 1, h.acceptStarts(1))
+}
