--- a/dispatcher/filter.go
+++ b/dispatcher/filter.go
@@ -16,6 +16,7 @@
 	listed    bool                 // a report with the running runs has passed
 	listedAt  clock.Millis         // when the poll of the latest such report was sent
 	running   []schedule.RunReport // as reported then
+	moreEnds  bool                 // as reported then
 	orderedAt clock.Millis         // when the latest order had an outcome; the owner needs a list that is newer
 }
 
@@ -25,10 +26,10 @@
 		return true
 	}
 	current := f.listed && f.listedAt > f.orderedAt && r.RequestedAt-f.listedAt < reportInterval
-	if current && len(r.Ended) == 0 && slices.EqualFunc(f.running, r.Running, sameProgress) {
+	if current && len(r.Ended) == 0 && f.moreEnds == r.MoreEnds && slices.EqualFunc(f.running, r.Running, sameProgress) {
 		return false
 	}
-	f.listed, f.listedAt, f.running = true, r.RequestedAt, r.Running
+	f.listed, f.listedAt, f.running, f.moreEnds = true, r.RequestedAt, r.Running, r.MoreEnds
 	return true
 }
 
--- a/hosted/dispatch_wire.go
+++ b/hosted/dispatch_wire.go
@@ -161,6 +161,7 @@
 	EndsOnly    bool      `json:"ends_only,omitempty"`
 	Running     []wireRun `json:"running,omitempty"`
 	Ended       []wireEnd `json:"ended,omitempty"`
+	MoreEnds    bool      `json:"more_ends,omitempty"`
 	Change      uint64    `json:"change,omitempty"`
 
 	Successor int64  `json:"successor_ms,omitempty"` // missing from members of earlier versions
@@ -199,6 +200,7 @@
 		w.Order, w.Task, w.Run, w.Outcome = uint8(e.Order.Kind), e.Order.Task.String(), e.Order.Run, uint8(e.Outcome)
 	case dispatcher.Polled:
 		w.RequestedAt, w.ListedAt, w.EndsOnly, w.Change = int64(e.Report.RequestedAt), int64(e.Report.ListedAt), e.Report.EndsOnly, e.Change
+		w.MoreEnds = e.Report.MoreEnds
 		for _, r := range e.Report.Running {
 			w.Running = append(w.Running, wireRun{Task: r.Task.String(), Run: r.Run, Checkpoint: r.Checkpoint, Percent: r.Percent, Load: r.Load})
 		}
@@ -250,7 +252,7 @@
 }
 
 func (w *wireEvent) decodeReport() (schedule.Report, error) {
-	report := schedule.Report{RequestedAt: clock.Millis(w.RequestedAt), ListedAt: clock.Millis(w.ListedAt), EndsOnly: w.EndsOnly}
+	report := schedule.Report{RequestedAt: clock.Millis(w.RequestedAt), ListedAt: clock.Millis(w.ListedAt), EndsOnly: w.EndsOnly, MoreEnds: w.MoreEnds}
 	for _, run := range w.Running {
 		task, err := job.ParseRef(run.Task)
 		if err != nil {
--- a/owner/fake_fleet_test.go
+++ b/owner/fake_fleet_test.go
@@ -21,6 +21,7 @@
 type fakeFleet struct {
 	runTime  time.Duration // 0 means that runs last until they are stopped
 	maxLease clock.Millis  // longer leases are shortened to it
+	maxEnds  int           // number of ended runs in a response; 0 means all
 	started  time.Time
 
 	mu      sync.Mutex
@@ -234,6 +235,9 @@
 		l.ended, l.over = l.ended[1:], l.over[1:]
 	}
 	response := worker.PollResponse{Reply: f.reply(l, worker.Done), Incarnation: l.born + 1, Ended: slices.Clone(l.ended)}
+	if f.maxEnds > 0 && len(l.ended) >= f.maxEnds {
+		response.Ended, response.MoreEnds = response.Ended[:f.maxEnds], true
+	}
 	for _, r := range l.running {
 		response.Running = append(response.Running, schedule.RunReport{Task: r.task, Run: r.run})
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -84,6 +84,7 @@
 	knownWorkersDirty bool
 	knownRows         int                               // rows of known workers that the store may have
 	unconfirmed       map[fleet.InstanceID]bool         // known at the takeover, and no response since
+	unreadEnds        map[fleet.InstanceID]bool         // workers that have more ended runs than they have listed
 	endedIncarnations map[incarnation]clock.Millis      // those that have certainly ended, and since when
 	strayLeases       map[fleet.InstanceID]clock.Millis // of restarted workers, when leases end that were meant for an earlier incarnation
 	formerLeasesEnd   clock.Millis                      // when all leases given by earlier owners have expired
@@ -132,7 +133,7 @@
 	o := &Owner{
 		Config: c, listedWorkers: map[fleet.InstanceID]schedule.Worker{}, addresses: map[fleet.InstanceID]string{},
 		sessions: map[fleet.InstanceID]*session{}, knownWorkers: map[fleet.InstanceID]knownWorker{},
-		savedKnownWorkers: map[fleet.InstanceID]knownWorker{}, endedIncarnations: map[incarnation]clock.Millis{}, strayLeases: map[fleet.InstanceID]clock.Millis{},
+		savedKnownWorkers: map[fleet.InstanceID]knownWorker{}, endedIncarnations: map[incarnation]clock.Millis{}, strayLeases: map[fleet.InstanceID]clock.Millis{}, unreadEnds: map[fleet.InstanceID]bool{},
 		reducedProgress: map[job.ID]bool{}, permits: map[fleet.QueueAddress]*rowstore.QueuePermit{}, movedAway: map[fleet.QueueAddress]fleet.Version{}, acquiring: make(chan struct{}, 1),
 		unconfirmed: map[fleet.InstanceID]bool{}, unreadable: map[job.ID]bool{}, submissions: map[job.ID]*submission{},
 		dispatchers: map[fleet.MemberID]*dispatcherRecord{}, dispatcherLeft: make(chan struct{}, 1),
@@ -337,13 +338,16 @@
 }
 
 // finishRecovery lets recovered tasks start once each worker on which they may run has responded,
-// or its leases have expired. Expiry counts only while this member is certain to hold the owner
+// or its leases have expired, and until those that respond have listed all of their ended runs. Expiry counts only while this member is certain to hold the owner
 // lease: otherwise a successor may have polled the worker and let it forget an ended run that
 // this owner never received.
 func (o *Owner) finishRecovery(now clock.Millis) {
 	if o.pool.RecoveryFinished() || (len(o.unconfirmed) > 0 && (now < o.formerLeasesEnd || !o.Lease.Exclusive())) {
 		return
 	}
+	if len(o.unreadEnds) > 0 {
+		return
+	}
 	o.pool.FinishRecovery(now)
 	o.Log.Info("owner: recovered tasks may start", "pool", o.Pool, "fence", o.Lease.Fence(), "workers_without_answer", len(o.unconfirmed))
 }
--- a/owner/workers.go
+++ b/owner/workers.go
@@ -89,13 +89,17 @@
 	return o.sessions[s.worker] == s && s.dispatcher == nil && !o.stopped
 }
 
-// confirmWorker marks a worker as confirmed: this owner has received the list of its runs, or nothing
-// runs on it any more.
-func (o *Owner) confirmWorker(id fleet.InstanceID) { delete(o.unconfirmed, id) }
+// confirmWorker marks a worker as confirmed: this owner has received the list of its runs and all of its ended
+// runs, or nothing runs on it any more.
+func (o *Owner) confirmWorker(id fleet.InstanceID) {
+	delete(o.unconfirmed, id)
+	delete(o.unreadEnds, id)
+}
 
 // removeWorker removes an incarnation on which nothing runs from the pool, ends its session and
 // deletes its record.
 func (o *Owner) removeWorker(id fleet.InstanceID, cause schedule.LossCause, reason string, now clock.Millis) {
+	delete(o.unreadEnds, id)
 	o.pool.RemoveWorker(id, cause, reason, now)
 	if s := o.sessions[id]; s != nil {
 		o.endSession(s)
@@ -147,6 +151,7 @@
 func (o *Owner) replaceIncarnation(id fleet.InstanceID, l worker.Loss, now clock.Millis) {
 	former := o.knownWorkers[id]
 	o.recordEnded(id, former.Incarnation, now)
+	delete(o.unreadEnds, id)
 	o.expectStrayLeases(id, now)
 	kept := o.pool.UnprovenRuns(id)
 	if kept == 0 && !o.unconfirmed[id] {
@@ -180,6 +185,7 @@
 // expireLeases ends the runs of a worker whose leases have expired. A worker that is not listed is
 // removed as well; another one gets a new session.
 func (o *Owner) expireLeases(s *session, now clock.Millis) {
+	delete(o.unreadEnds, s.worker)
 	o.pool.ExpireLeases(s.worker, now)
 	if _, listed := o.listedWorkers[s.worker]; !listed {
 		o.removeWorker(s.worker, schedule.LossSilent, "it is not listed and its leases have expired", now)
@@ -224,7 +230,11 @@
 
 // observe applies the result of a poll to the pool. Ended runs in it get the next number of a change.
 func (o *Owner) observe(id fleet.InstanceID, r schedule.Report, now clock.Millis) {
-	o.confirmWorker(id)
+	if r.MoreEnds {
+		o.unreadEnds[id] = true
+	} else {
+		o.confirmWorker(id)
+	}
 	o.markUsed(id)
 	o.pool.Observe(id, r, now)
 	o.activity.ends += len(r.Ended)
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -171,7 +171,9 @@
 	}
 	p.byFreeCPU.update(w)
 	p.resolveTrials(w, false, now)
-	p.freeUnlistedRuns(w, &r, now)
+	if !r.MoreEnds {
+		p.freeUnlistedRuns(w, &r, now)
+	}
 }
 
 // freeUnlistedRuns frees tasks whose run is certainly not on the worker and never will be: the worker
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -114,6 +114,7 @@
 	EndsOnly bool // Running is left out
 	Running  []RunReport
 	Ended    []EndReport // only ends that were not reported before
+	MoreEnds bool        // the worker may have more ended runs than it has listed so far
 }
 
 // Event is a change of the pool's state, for the log and for metrics.
--- a/schedule/restart_test.go
+++ b/schedule/restart_test.go
@@ -192,3 +192,21 @@
 	must.Len(t, 3, crashes)
 	must.True(t, crashes[2].Alone)
 }
+
+// Guards against a start that counts as without effect because its run is not listed, although it may have ended: the
+// worker has more ended runs than it lists at once.
+func TestRunThatMayHaveEndedIsNotFreed(t *testing.T) {
+	h := newRestartHarness(t, schedule.UnknownOutcome, false)
+	stops := h.planAfter(0)
+	must.Len(t, 1, stops)
+	h.pool.Answered(stops[0], schedule.Accepted, h.now)
+	for _, more := range []bool{true, false} {
+		h.now += 10
+		h.pool.Observe(workerID(0), schedule.Report{RequestedAt: h.now, MoreEnds: more}, h.now)
+		starts := 0
+		if !more {
+			starts = 1
+		}
+		must.Len(t, starts, h.acceptStarts(1))
+	}
+}
--- a/worker/calls.go
+++ b/worker/calls.go
@@ -77,7 +77,8 @@
 	Reply
 	Incarnation clock.Millis // start time of the incarnation; 0 if the worker did not send it
 	Running     []schedule.RunReport
-	Ended       []EndedRun // all ended runs that the worker may not forget yet
+	Ended       []EndedRun // ended runs that the worker may not forget yet, by number
+	MoreEnds    bool       // the worker may have more ended runs, which it lists once these are forgotten
 }
 
 // Calls are the calls to workers: to start a run, to stop one, to set the pace of one in percent,
--- a/worker/session.go
+++ b/worker/session.go
@@ -266,10 +266,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(ends) > 0 && s.listed && requestedAt-s.listedAt < listInterval {
-		return schedule.Report{RequestedAt: requestedAt, EndsOnly: true, Ended: ends}
+		return schedule.Report{RequestedAt: requestedAt, EndsOnly: true, Ended: ends, MoreEnds: l.MoreEnds}
 	}
 	s.listed, s.listedAt = true, requestedAt
-	return schedule.Report{RequestedAt: requestedAt, ListedAt: s.lease.responseTime(l.Clock, requestedAt), Running: l.Running, Ended: ends}
+	return schedule.Report{
+		RequestedAt: requestedAt, ListedAt: s.lease.responseTime(l.Clock, requestedAt), Running: l.Running, Ended: ends, MoreEnds: l.MoreEnds,
+	}
 }
 
 // newEnds returns the ended runs that were not reported before, and the highest number reported
