--- a/owner/restart_test.go
+++ b/owner/restart_test.go
@@ -1,11 +1,14 @@
 package owner_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -147,6 +150,40 @@
 	}
 }
 
+// Guards against a worker that takes no tasks for a minute after it has restarted twice: the platform still lists
+// the incarnation in between, which the owner has never polled, and the owner took it for the latest one.
+func TestListThatLagsBehindRestartsIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := newFakeFleet(1)
+		workers.runTime = 8 * time.Second
+		var log bytes.Buffer
+		poolOwner := startOwner(t, owner.Config{
+			Table: newStore().table(), Calls: workers.calls(), FinalStateRetention: 120_000, Log: slog.New(slog.NewTextHandler(&log, nil)),
+		})
+		poolOwner.SetWorkers(workers.list(restartCapacity))
+		time.Sleep(time.Second)
+		workers.beforeStart = func(id fleet.InstanceID, _ worker.StartOrder) {
+			workers.beforeStart = nil
+			workers.restart(id)
+			time.Sleep(20 * time.Millisecond)
+			between := workers.list(restartCapacity)
+			workers.restart(id)
+			time.AfterFunc(300*time.Millisecond, func() { poolOwner.SetWorkers(between) })
+		}
+		submitTasks(t, poolOwner, "00000000000000aa", 1)
+		time.Sleep(2 * time.Second)
+		poolOwner.SetWorkers(workers.list(restartCapacity))
+		time.Sleep(18 * time.Second)
+		status, _, err := poolOwner.Status(t.Context(), "00000000000000aa")
+		must.NoError(t, err)
+		must.Eq(t, job.Complete, status.State)
+		must.Eq(t, "", workers.doubled())
+		must.True(t, errors.Is(poolOwner.stop(), context.Canceled))
+		must.Eq(t, 1, strings.Count(log.String(), "may have runs of its former incarnation"))
+		must.False(t, strings.Contains(log.String(), "a later incarnation is listed"))
+	})
+}
+
 // Guards against a mark of a restarted worker that stays, so that each later takeover waits for it longer.
 func TestMarkOfRestartedWorkerIsRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/owner/workers.go
+++ b/owner/workers.go
@@ -30,12 +30,12 @@
 	now := o.Clock.Now()
 	present := map[fleet.InstanceID]bool{}
 	for _, listed := range list {
-		if o.hasEnded(listed.ID, listed.Incarnation) {
-			continue
+		recorded, known := o.knownWorkers[listed.ID]
+		if o.hasEnded(listed.ID, listed.Incarnation) || (known && listed.Incarnation < recorded.Incarnation) {
+			continue // the entry is older than what the worker has answered
 		}
 		present[listed.ID] = true
 		o.listedWorkers[listed.ID], o.addresses[listed.ID] = listed.Worker, listed.Address
-		recorded, known := o.knownWorkers[listed.ID]
 		if known && recorded.Incarnation != 0 && recorded.Incarnation != listed.Incarnation {
 			o.replaceIncarnation(listed.ID, worker.Loss{Reason: "a later incarnation is listed", Successor: listed.Incarnation}, now)
 		}
