--- a/owner/submit.go
+++ b/owner/submit.go
@@ -187,7 +187,9 @@
 			break
 		}
 	}
-	s.fail(errStopped)
+	if !o.stopped { // otherwise shutDown has failed it
+		s.fail(errStopped)
+	}
 	return true
 }
 
@@ -211,6 +213,9 @@
 		case <-ctx.Done():
 			return false, &UnknownError{Err: ctx.Err()}
 		}
+		if pending.err != nil && pending.committing { // the job may have been accepted
+			return false, &UnknownError{Err: pending.err}
+		}
 		o.mu.Lock()
 	}
 	if !o.pool.Cancel(id, o.Clock.Now()) {
