--- a/job/compact_test.go
+++ b/job/compact_test.go
@@ -202,3 +202,21 @@
 		must.Eq(t, p, decoded, must.Sprint("seed ", seed))
 	}
 }
+
+// BenchmarkEncodeProgress measures what a commit spends on the progress of a job after one crash of a worker with all
+// of its tasks: few are stored one by one, and many in the compact form.
+func BenchmarkEncodeProgress(b *testing.B) {
+	for _, tasks := range []int{100, 1000, 10_000} {
+		p := newProgress()
+		addCrash(p, tasks, 1, 2000, 7, 900)
+		b.Run(fmt.Sprint(tasks, " tasks"), func(b *testing.B) {
+			bytes := 0
+			for b.Loop() {
+				text, _, err := p.EncodeWithin(rowLimit)
+				must.NoError(b, err)
+				bytes = len(text)
+			}
+			b.ReportMetric(float64(bytes), "bytes")
+		})
+	}
+}
--- a/schedule/restart_test.go
+++ b/schedule/restart_test.go
@@ -1,6 +1,7 @@
 package schedule_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -210,3 +211,27 @@
 		must.Len(t, starts, h.acceptStarts(1))
 	}
 }
+
+// BenchmarkRestartWorker measures what an owner spends on the restart of a worker under its id, per run that may be on
+// the successor.
+func BenchmarkRestartWorker(b *testing.B) {
+	for _, runs := range []int{20, 1000} {
+		b.Run(fmt.Sprint(runs, " runs"), func(b *testing.B) {
+			step := newStep(runs)
+			step.Needs = job.Resources{CPU: 1, Memory: 1}
+			h := &harness{pool: schedule.New(schedule.Config{Pool: "p"})}
+			h.pool.FinishRecovery(0)
+			h.addWorker(workerID(0), 16000)
+			h.pool.Add(newJob(1, step), testPolicy, nil, 0, 0)
+			must.Len(b, runs, h.planAfter(1))
+			incarnation := clock.Millis(1)
+			for b.Loop() {
+				incarnation++
+				h.now++
+				must.Eq(b, runs, h.pool.UnprovenRuns(workerID(0)))
+				h.pool.RestartWorker(workerID(0), incarnation, "it has restarted", h.now)
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/float64(runs), "us/run")
+		})
+	}
+}
