--- a/owner/owner.go
+++ b/owner/owner.go
@@ -83,7 +83,7 @@
 	savedKnownWorkers map[fleet.InstanceID]knownWorker
 	knownWorkersDirty bool
 	knownRows         int                               // rows of known workers that the store may have
-	unconfirmed       map[fleet.InstanceID]bool         // known at the takeover, and no response since
+	unconfirmed       map[fleet.InstanceID]bool         // known at the takeover, and not confirmed since
 	unreadEnds        map[fleet.InstanceID]bool         // workers that have more ended runs than they have listed
 	endedIncarnations map[incarnation]clock.Millis      // those that have certainly ended, and since when
 	strayLeases       map[fleet.InstanceID]clock.Millis // of restarted workers, when leases end that were meant for an earlier incarnation
@@ -338,9 +338,9 @@
 }
 
 // finishRecovery lets recovered tasks start once each worker on which they may run has responded,
-// or its leases have expired, and until those that respond have listed all of their ended runs. Expiry counts only while this member is certain to hold the owner
-// lease: otherwise a successor may have polled the worker and let it forget an ended run that
-// this owner never received.
+// or its leases have expired, and once those that respond have listed all of their ended runs. Expiry
+// counts only while this member is certain to hold the owner lease: otherwise a successor may have polled
+// the worker and let it forget an ended run that this owner never received.
 func (o *Owner) finishRecovery(now clock.Millis) {
 	if o.pool.RecoveryFinished() || (len(o.unconfirmed) > 0 && (now < o.formerLeasesEnd || !o.Lease.Exclusive())) {
 		return
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -11,7 +11,7 @@
 )
 
 // SetWorker adds a worker or updates its description. A new incarnation under the same id ends
-// all runs of the previous one.
+// all runs of the previous one; see [Pool.RestartWorker] for those that it may have taken over.
 func (p *Pool) SetWorker(d Worker, now clock.Millis) {
 	w := p.workers[d.ID]
 	if w != nil && w.Incarnation != d.Incarnation {
@@ -63,7 +63,7 @@
 	}
 }
 
-// removeWorker removes a worker with the given runs.
+// removeWorker removes a worker, with which the given runs are lost.
 func (p *Pool) removeWorker(w *worker, lost []lostRun, cause LossCause, reason string, now clock.Millis) {
 	id := w.ID
 	if cause == LossCrash && w.isLeaving() {
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -114,7 +114,9 @@
 	EndsOnly bool // Running is left out
 	Running  []RunReport
 	Ended    []EndReport // only ends that were not reported before
-	MoreEnds bool        // the worker may have more ended runs than it has listed so far
+	// MoreEnds says that the worker may have more ended runs than it has listed, so that a run which is not
+	// listed may have ended.
+	MoreEnds bool
 }
 
 // Event is a change of the pool's state, for the log and for metrics.
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -191,7 +191,7 @@
 // createOccurrence creates an occurrence of a job and makes the steps ready that depend on no
 // unfinished step. Those of an occurrence that may not be due yet are blocked until
 // [Pool.releaseOccurrence].
-func (p *Pool) createOccurrence(j *Job, index int, due bool, now clock.Millis) *occurrence {
+func (p *Pool) createOccurrence(j *Job, index int, due bool, now clock.Millis) {
 	o := &occurrence{index: index, remainingSteps: len(j.Steps), held: !due}
 	if j.Runs > 0 { // the objective counts from acceptance, which does not fit later occurrences
 		p.regroup(j, now+j.objective-j.acceptedAt)
@@ -232,7 +232,6 @@
 	if o.remainingSteps == 0 {
 		p.completeOccurrence(j, o, now)
 	}
-	return o
 }
 
 // releaseOccurrence makes the steps of a held occurrence ready that depend on no unfinished step.
