schedule, owner: tell why tasks wait, which workers are avoided, and which runs failed a job

Pool.Waits gives each waiting task one cause: gang, trial, allowance or worker. The owner publishes the counts (citronknot_pool_tasks_waiting, citronknot_pool_workers_avoided), logs teams that have waited for a second for their allowance, and the dump of a pool lists the longest waits. Tests: TestWaitsNameTheirCauses, TestFailedJobNamesItsFailedRuns; neither the method nor the text existed before.

--- a/owner/activity.go
+++ b/owner/activity.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"citronknot/clock"
+	"citronknot/schedule"
 )
 
 // activityInterval is the time between two log lines about what happens in a pool.
@@ -31,9 +32,10 @@
 		return
 	}
 	usage := o.pool.Usage(now)
+	o.recordWaits(now, usage.Avoided)
 	if !a.isIdle() || usage.InTime > 0 || usage.Late > 0 {
 		o.Log.Info("owner: pool activity", "pool", o.Pool, "fence", o.Lease.Fence(), "since_ms", int64(now-a.loggedAt),
-			"workers", usage.Workers, "usable", usage.Usable, "capacity", usage.Capacity, "used", usage.Used,
+			"workers", usage.Workers, "usable", usage.Usable, "avoided", usage.Avoided, "capacity", usage.Capacity, "used", usage.Used,
 			"waiting_in_time", usage.InTime, "waiting_late", usage.Late, "pending_starts", usage.Starting,
 			"starts", a.starts, "ends", a.ends, "accepted", a.accepted, "commits", a.commits,
 			"slowest_commit_ms", a.slowestCommit.Milliseconds(), "slowest_pass_ms", a.slowestPass.Milliseconds(),
@@ -41,3 +43,25 @@
 	}
 	o.activity = activity{loggedAt: now}
 }
+
+// loggedWait is how long tasks have waited for their team's allowance when that is logged. A new demand takes
+// some reports to change the allowances.
+const loggedWait clock.Millis = 1000
+
+// recordWaits publishes why tasks wait for a start, and logs the teams whose allowance does not cover what they
+// wait for.
+func (o *Owner) recordWaits(now clock.Millis, avoidedWorkers int) {
+	pool := string(o.Pool)
+	o.Metrics.WorkersAvoided.WithLabelValues(pool).Set(float64(avoidedWorkers))
+	waits := o.pool.Waits(now)
+	for _, cause := range schedule.WaitCauses() {
+		o.Metrics.TasksWaiting.WithLabelValues(pool, cause.String()).Set(float64(waits.Tasks[cause]))
+	}
+	for _, w := range waits.Teams {
+		if w.Longest < loggedWait {
+			continue
+		}
+		o.Log.Info("owner: team waits for its allowance", "pool", o.Pool, "fence", o.Lease.Fence(), "team", w.Team, "tasks", w.Tasks,
+			"waited_ms", int64(w.Longest), "needs", w.Needs, "used", w.Used, "allowance", w.Allowance)
+	}
+}
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -20,6 +20,10 @@
 	TeamsOverShare *prometheus.GaugeVec
 	// TasksAway is the number of long-running tasks in each pool that are not known to work, by cause.
 	TasksAway *prometheus.GaugeVec
+	// TasksWaiting is the number of tasks in each pool that wait for a start, by cause.
+	TasksWaiting *prometheus.GaugeVec
+	// WorkersAvoided is the number of workers of each pool that get no starts after repeated failures.
+	WorkersAvoided *prometheus.GaugeVec
 	// Dispatchers is the number of dispatchers of each pool that the process owns.
 	Dispatchers *prometheus.GaugeVec
 }
@@ -64,6 +68,13 @@
 			Name: "citronknot_long_running_tasks_away",
 			Help: "Long-running tasks that are not known to work, by cause: new, stopped, lost, ended, silent, unseen or unconfirmed.",
 		}, []string{"pool", "cause"}),
+		TasksWaiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "citronknot_pool_tasks_waiting",
+			Help: "Tasks that wait for a start, by cause: gang, trial, allowance or worker.",
+		}, []string{"pool", "cause"}),
+		WorkersAvoided: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "citronknot_pool_workers_avoided", Help: "Workers that get no starts after repeated failures.",
+		}, []string{"pool"}),
 		Dispatchers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "citronknot_pool_dispatchers", Help: "Members that call workers for the owner of a pool.",
 		}, []string{"pool"}),
@@ -74,6 +85,6 @@
 func (m *Metrics) Collectors() []prometheus.Collector {
 	return []prometheus.Collector{
 		m.Orders, m.Events, m.RunsLost, m.PlaceWaits, m.OrderTime, m.PlanTime, m.CommitTime, m.CommitRows,
-		m.Refusals, m.Suspects, m.TeamsOverShare, m.TasksAway, m.Dispatchers,
+		m.Refusals, m.Suspects, m.TeamsOverShare, m.TasksAway, m.TasksWaiting, m.WorkersAvoided, m.Dispatchers,
 	}
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -209,7 +209,9 @@
 	o.Metrics.Dispatchers.DeleteLabelValues(string(o.Pool))
 	o.Metrics.Suspects.DeleteLabelValues(string(o.Pool))
 	o.Metrics.TeamsOverShare.DeleteLabelValues(string(o.Pool))
+	o.Metrics.WorkersAvoided.DeleteLabelValues(string(o.Pool))
 	o.Metrics.TasksAway.DeletePartialMatch(prometheus.Labels{"pool": string(o.Pool)})
+	o.Metrics.TasksWaiting.DeletePartialMatch(prometheus.Labels{"pool": string(o.Pool)})
 	for _, s := range o.submissions {
 		s.fail(err)
 	}
--- a/schedule/dump.go
+++ b/schedule/dump.go
@@ -28,6 +28,20 @@
 	// maxPlaceWaitsDumped of PlaceWaitCount.
 	PlaceWaits     []PlaceWaitDump `json:"place_waits"`
 	PlaceWaitCount int             `json:"place_wait_count"`
+	// Waits are steps with tasks that wait for a start, at most maxWaitsDumped.
+	Waits []WaitDump `json:"waits"`
+}
+
+// maxWaitsDumped is the number of waiting steps in a dump; those that wait longest are chosen.
+const maxWaitsDumped = 64
+
+// WaitDump is a snapshot of a step with tasks that wait for a start.
+type WaitDump struct {
+	Task     string       `json:"task"` // the first of them
+	Team     fleet.TeamID `json:"team"`
+	Tasks    int          `json:"tasks"`
+	Cause    string       `json:"cause"` // gang, trial, allowance or worker
+	WaitedMS clock.Millis `json:"waited_ms"`
 }
 
 // maxPlaceWaitsDumped is the number of waits for a near place in a dump.
@@ -146,6 +160,7 @@
 			})
 		}
 	}
+	d.Waits = p.dumpWaits(now)
 	for _, w := range p.sortedWorkers {
 		d.Workers = append(d.Workers, WorkerDump{
 			ID: w.ID, Zone: w.Zone, Answered: w.responded, Reachable: w.reachable, Draining: w.Draining, Cordoned: w.cordoned, Listed: !w.unlisted,
--- a/schedule/load.go
+++ b/schedule/load.go
@@ -70,6 +70,7 @@
 type Usage struct {
 	Workers  int
 	Usable   int   // workers that may be given tasks
+	Avoided  int   // workers that get no starts after repeated failures
 	Capacity int64 // of the usable workers
 	Used     int64 // of Capacity
 	InTime   int64 // needs of the waiting tasks that can still end in time, and of the long-running ones
@@ -81,6 +82,9 @@
 func (p *Pool) Usage(now clock.Millis) Usage {
 	u := Usage{Workers: len(p.sortedWorkers), Starting: len(p.startingTasks)}
 	for _, w := range p.sortedWorkers {
+		if now < w.avoidUntil {
+			u.Avoided++
+		}
 		if w.isUsable(now) {
 			u.Usable++
 			u.Capacity += w.Capacity.CPU
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -454,7 +454,7 @@
 		t.failedOn = map[*worker]bool{}
 	}
 	if len(t.failedOn) == 0 {
-		w.recordFailure(now)
+		p.countFailure(w, t, run, now)
 	}
 	t.failedOn[w] = true
 	if s.spec.LongRunning {
@@ -472,7 +472,7 @@
 	switch {
 	case j.state.Final():
 	case failures >= j.attempts():
-		p.exhaust(t, "a task failed as often as the queue allows", now)
+		p.exhaust(t, fmt.Sprintf("a task failed as often as the queue allows: %s in its runs %v", t.unit().ref(), j.progress.Failures[at]), now)
 	case t.step.blockedBy == 0 && t.worker == nil && j.recovered && !p.recoveryFinished:
 		t.setState(unconfirmed, now) // workers that have not responded may report more failures
 	case current || t.worker == nil:
@@ -480,6 +480,14 @@
 	}
 }
 
+// countFailure counts a failed run, or a start that was refused, against a worker.
+func (p *Pool) countFailure(w *worker, t *task, run int, now clock.Millis) {
+	if !w.recordFailure(now) {
+		return
+	}
+	p.emit(Event{Kind: "worker_avoided", Task: t.ref(), Run: run, Worker: w.ID, Detail: fmt.Sprintf("no starts for %d ms after repeated failures", avoidDuration)})
+}
+
 // exhaust fails the job of a task that does not start again.
 func (p *Pool) exhaust(t *task, cause string, now clock.Millis) {
 	if t.state == waiting {
@@ -531,7 +539,7 @@
 	case BadTicket:
 		delete(t.step.advice.tickets, w)
 	case Refused:
-		w.recordFailure(now)
+		p.countFailure(w, t, t.run, now)
 	}
 	p.unassign(t, now)
 	p.requeueOrBlock(t, now)
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -157,13 +157,16 @@
 }
 
 // recordFailure counts a failure on the worker. It excludes the worker from starts for
-// avoidDuration once avoidFailures is reached; the count then restarts at half of avoidFailures.
-func (w *worker) recordFailure(now clock.Millis) {
+// avoidDuration once avoidFailures is reached, and reports whether it did; the count then restarts at
+// half of avoidFailures.
+func (w *worker) recordFailure(now clock.Millis) (avoided bool) {
 	w.recentFailures++
-	if w.recentFailures >= avoidFailures {
-		w.avoidUntil = now + avoidDuration
-		w.recentFailures = avoidFailures / 2
+	if w.recentFailures < avoidFailures {
+		return false
 	}
+	w.avoidUntil = now + avoidDuration
+	w.recentFailures = avoidFailures / 2
+	return true
 }
 
 // recordSuccess halves the count of recent failures.
