schedule: guard that a run of a gang counts as one failure

What callers saw: several members of one run of a gang ended failed, and the job was shown as failed with attempts left.

Ends come in any order, twice, with and without commits between, and another owner reads them again.

--- /dev/null
+++ b/schedule/gang_test.go
@@ -0,0 +1,95 @@
+package schedule_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"citronknot/fleet"
+	"citronknot/job"
+	"citronknot/schedule"
+)
+
+// reportEnds reports the ends of the runs that were started by orders, in one poll of each worker.
+func (h *harness) reportEnds(orders []schedule.Order, kind schedule.EndKind) {
+	ends := map[fleet.InstanceID][]schedule.EndReport{}
+	for _, o := range orders {
+		ends[o.Worker] = append(ends[o.Worker], schedule.EndReport{Task: o.Task, Run: o.Run, Kind: kind})
+	}
+	for id, e := range ends {
+		h.pool.Observe(id, schedule.Report{RequestedAt: h.now, Ended: e}, h.now)
+	}
+}
+
+// shuffled returns orders in a random order.
+func shuffled(r *rand.Rand, orders []schedule.Order) []schedule.Order {
+	r.Shuffle(len(orders), func(i, k int) { orders[i], orders[k] = orders[k], orders[i] })
+	return orders
+}
+
+// Guards against a gang that is failed before its attempts are used up because each member that fails
+// counts: members of one run fail together in any order, reports are repeated, and another owner that has
+// only a part of the progress reads the same ends again.
+func TestGangFailsOncePerRun(t *testing.T) {
+	const attempts = 3
+	policy := job.Policy{Attempts: attempts, Stretch: 1.6, Slack: 600}
+	for seed := range uint64(200) {
+		r := rand.New(rand.NewPCG(seed, 49))
+		size := 2 + r.IntN(4)
+		j := newJob(1, newGang(size))
+		h := newHarness(t, 1+r.IntN(size))
+		h.pool.Add(j, policy, nil, 0, 0)
+		for run := 1; run <= attempts; run++ {
+			var started []schedule.Order
+			for range 10 { // workers may be avoided after earlier failures
+				if started = h.acceptStarts(4000); len(started) > 0 {
+					break
+				}
+			}
+			must.Len(t, size, started, must.Sprintf("seed %d: run %d starts", seed, run))
+			failed := 1 + r.IntN(size)
+			for i, o := range shuffled(r, started) {
+				kind := schedule.EndFailed
+				if i >= failed {
+					kind = schedule.EndGangBroken
+				}
+				for range 1 + r.IntN(2) {
+					h.reportEnd(o, kind)
+				}
+				if r.IntN(3) == 0 {
+					h.commitChanges()
+				}
+			}
+			h.commitChanges()
+			must.Eq(t, run == attempts, h.jobState(1) == job.Failed, must.Sprintf("seed %d, %d of %d members failed in run %d", seed, failed, size, run))
+		}
+	}
+}
+
+// Guards against failures of a gang that a new owner counts once more: the former owner made those of some
+// members durable, and none of the ends was acknowledged.
+func TestNewOwnerCountsFailedGangOnce(t *testing.T) {
+	h := newHarness(t, 1)
+	h.pool.Add(newJob(1, newGang(3)), job.Policy{Attempts: 3}, nil, 0, 0)
+	started := h.acceptStarts(0)
+	h.reportEnd(started[1], schedule.EndFailed)
+	text, err := h.pool.Changes(0, 10)[0].Progress.Encode()
+	must.NoError(t, err)
+	progress, err := job.DecodeProgress(text)
+	must.NoError(t, err)
+
+	next := newHarness(t, 0)
+	next.pool.RunBase = 1000
+	next.pool.Add(newJob(1, newGang(3)), job.Policy{Attempts: 3}, progress, 0, 0)
+	next.addWorker("w0", 16000)
+	next.reportEnds(started, schedule.EndFailed)
+	next.commitChanges()
+	must.NotEq(t, job.Failed, next.jobState(1))
+	next.reportEnds(next.acceptStarts(4000), schedule.EndFailed)
+	next.commitChanges()
+	must.NotEq(t, job.Failed, next.jobState(1))
+	next.reportEnds(next.acceptStarts(4000), schedule.EndFailed)
+	next.commitChanges()
+	must.Eq(t, job.Failed, next.jobState(1))
+}
