schedule: count the failures of one job no more than twice against a worker

What callers saw: jobs wait while workers are idle. One failed run of a gang made its only worker unavailable for 3 s, the time after which a waiting job counts as lost; so did one run of a plain step of three tasks.

Cause: of the failures of one task only the first counted against its worker, but each member of a gang, and each task of a step, counted by itself, although the comment promises that one job that always fails makes no worker unavailable. Nothing bounded the number of workers that are avoided at once. Members of a gang preferred other workers only if they had failed themselves, so that a gang started again where another member had just failed.

Change: what a failure says is recorded for the unit, the task or the whole gang (task.failedOn of the unit). The failures of one job count twice at most until other tasks of the step are done. Starts that were on their way when a worker refused another one say nothing more.

--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -68,7 +68,7 @@
 
 // Costs of a placement. No sum of the lower ones reaches the next higher one.
 const (
-	costFailedBefore = 1 << 50 // the task failed on the worker before
+	costFailedBefore = 1 << 50 // the task, or its gang, failed on the worker before
 	costSuspect      = 1 << 48 // a suspected task runs on the worker, or one of another job was just started there
 	costCold         = 1 << 47 // a short task on a worker that is still slow after its start
 	costOtherRack    = 1 << 45 // on another rack than the data or the rest of the step
@@ -82,7 +82,7 @@
 // is long-running or limits it.
 func (p *Pool) cost(t *task, w *worker, siblings int, now clock.Millis) int64 {
 	var c int64
-	if t.failedOn[w] {
+	if t.unit().failedOn[w] {
 		c += costFailedBefore
 	}
 	suspected := t.unit().suspicion != unsuspected
--- a/schedule/job.go
+++ b/schedule/job.go
@@ -20,11 +20,12 @@
 	started        bool
 	recovered      bool
 	acceptedAt     clock.Millis
-	objective      clock.Millis  // latest end at which the job still has its full value, on the owner's clock
-	criticalPath   clock.Millis  // sum of the estimates on the longest path through the steps
-	workLeft       job.Resources // what the pool's backlog contains of the job
-	group          backlogGroup  // where
-	groupStart     clock.Millis  // latest start under which it does
+	objective      clock.Millis    // latest end at which the job still has its full value, on the owner's clock
+	criticalPath   clock.Millis    // sum of the estimates on the longest path through the steps
+	workLeft       job.Resources   // what the pool's backlog contains of the job
+	group          backlogGroup    // where
+	groupStart     clock.Millis    // latest start under which it does
+	failuresOn     map[*worker]int // failures that counted against a worker
 	dirty          bool
 	trial          *trial          // of its suspected tasks; nil if there is none
 	trialDue       bool            // one of its tasks is to start alone
--- a/schedule/near.go
+++ b/schedule/near.go
@@ -156,7 +156,7 @@
 func (f *workerForecast) mayTake(t *task) bool {
 	s, w := t.step, f.worker
 	_, advised := s.advice.tickets[w]
-	return !t.failedOn[w] && w.hasLabel(s.spec.Label) && (advised || !s.job.policy.Advised) &&
+	return !t.unit().failedOn[w] && w.hasLabel(s.spec.Label) && (advised || !s.job.policy.Advised) &&
 		(s.spec.MaxPerWorker == 0 || s.countOn(w)+f.countTaken(s) < s.spec.MaxPerWorker)
 }
 
--- a/schedule/observe.go
+++ b/schedule/observe.go
@@ -450,13 +450,7 @@
 // Failures of long-running tasks do not count against the job.
 func (p *Pool) taskFailed(t *task, w *worker, run int, current bool, now clock.Millis) {
 	s, j := t.step, t.step.job
-	if t.failedOn == nil {
-		t.failedOn = map[*worker]bool{}
-	}
-	if len(t.failedOn) == 0 {
-		p.countFailure(w, t, run, now)
-	}
-	t.failedOn[w] = true
+	p.recordRunFailure(t, w, run, now)
 	if s.spec.LongRunning {
 		if current || t.worker == nil {
 			p.requeueOrBlock(t, now)
@@ -480,14 +474,6 @@
 	}
 }
 
-// countFailure counts a failed run, or a start that was refused, against a worker.
-func (p *Pool) countFailure(w *worker, t *task, run int, now clock.Millis) {
-	if !w.recordFailure(now) {
-		return
-	}
-	p.emit(Event{Kind: "worker_avoided", Task: t.ref(), Run: run, Worker: w.ID, Detail: fmt.Sprintf("no starts for %d ms after repeated failures", avoidDuration)})
-}
-
 // exhaust fails the job of a task that does not start again.
 func (p *Pool) exhaust(t *task, cause string, now clock.Millis) {
 	if t.state == waiting {
@@ -539,7 +525,7 @@
 	case BadTicket:
 		delete(t.step.advice.tickets, w)
 	case Refused:
-		p.countFailure(w, t, t.run, now)
+		p.countRefusal(w, t, now)
 	}
 	p.unassign(t, now)
 	p.requeueOrBlock(t, now)
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -53,7 +53,6 @@
 	// stopAcceptedAt.
 	stopAccepted   bool
 	stopAcceptedAt clock.Millis
-	failedOn       map[*worker]bool
 	// stopUntil is the time before which a stop may end the run that a former owner ordered, or that got no
 	// answer. It is 0 if there is none, or once a list made after that time still contains the run.
 	stopUntil     clock.Millis
@@ -72,6 +71,7 @@
 	// the worker may carry it out.
 	callEnds clock.Millis
 	// Of a task, or of the first task of a gang:
+	failedOn    map[*worker]bool // workers on which a run failed
 	suspicion   suspicion
 	doubtWeight int // of runs lost with workers that were silent and may have crashed; see crashWeight
 }
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -48,6 +48,7 @@
 	fullUntil        clock.Millis   // no starts before this time, after a refusal for lack of capacity
 	closedUntil      clock.Millis   // no starts before this time, after a start that was held back
 	recentFailures   float64        // halved by each success
+	refusedAt        clock.Millis   // when a start was last refused that counts as a failure
 	starter          *starter       // record of the member that sends the worker its orders
 	starterID        fleet.MemberID // id of that member; empty for the owner
 	avoidUntil       clock.Millis   // no starts before this time, after repeated failures
@@ -58,13 +59,8 @@
 	trial            *trial         // nothing else is started during it; nil if there is none
 }
 
-// Limits on starts after failures and refusals.
+// Limits on starts after refusals.
 const (
-	// avoidFailures is the number of failures in a row on a worker after which the worker gets
-	// no starts for avoidDuration. Of the failures of one task only the first counts, as one
-	// job that always fails must not make workers unavailable.
-	avoidFailures = 3.0
-	avoidDuration = clock.Millis(3000)
 	// fullDuration is the longest time for which a worker gets no starts after it refused one
 	// for lack of capacity. The time ends early when the worker reports that a run has ended.
 	fullDuration = clock.Millis(300)
@@ -155,19 +151,3 @@
 func (w *worker) hasLabel(label string) bool {
 	return label == "" || slices.Contains(w.Labels, label)
 }
-
-// recordFailure counts a failure on the worker. It excludes the worker from starts for
-// avoidDuration once avoidFailures is reached, and reports whether it did; the count then restarts at
-// half of avoidFailures.
-func (w *worker) recordFailure(now clock.Millis) (avoided bool) {
-	w.recentFailures++
-	if w.recentFailures < avoidFailures {
-		return false
-	}
-	w.avoidUntil = now + avoidDuration
-	w.recentFailures = avoidFailures / 2
-	return true
-}
-
-// recordSuccess halves the count of recent failures.
-func (w *worker) recordSuccess() { w.recentFailures /= 2 }
