quota: cover small demands first, and what a waiting task or gang needs as a whole

What callers saw: a task waits for as long as its team has a backlog in another pool, with idle workers and under half of the team's limit in use. A gang waits the same way once its pool's share is below its size.

Cause: once the demand of a team in all pools exceeded its limit, each pool got a share in proportion to its demand. With a limit of 100,000 mCPU, 950 wanted in one pool and 300,000 in another, the first got 315, and its task needs 950. The ledger did not know that tasks and gangs start as a whole, nor that the pool with the backlog had no room for its share.

Change: shares are max-min fair: small demands are covered, large ones get the same share. Owners report the needs of the smallest waiting task or gang and those that cover each; if the pools leave enough of the limit unused, a share covers one. Pools that have waited longest since they could start something have their turn first. What is granted is still bounded by what the other pools may be using, at each moment. Records are kept by team in slices.

Tests, seen to fail on the code before: TestWaitingUnitStartsWhileLimitHasRoom (9 of 9 cases), TestGangsThatFillLimitRunInTurn (one pool started none), TestTurnPassesFromPoolWithoutRoom, TestSmallDemandsAreCoveredFirst. Mutations: without guarantee, without turns, without the bound by other pools, with the smallest unit alone: each fails a test (the last TestGangIsCoveredBesideSmallTasks). TestTotalUseStaysWithinLimit starts units and reports them now; 20,000 checks held.

--- a/hosted/report_wire.go
+++ b/hosted/report_wire.go
@@ -37,6 +37,23 @@
 	Used      wireResources `json:"used"`
 	Demand    wireResources `json:"want"` // Used and the needs of waiting tasks
 	Allowance wireResources `json:"allowance"`
+	// Of the tasks and gangs that wait, as a whole; members of earlier versions don't send them.
+	Smallest wireResources `json:"smallest"`
+	Largest  wireResources `json:"largest"`
+}
+
+func encodeUsage(u quota.Usage) wireUsage {
+	return wireUsage{
+		Used: encodeResources(u.Used), Demand: encodeResources(u.Demand), Allowance: encodeResources(u.Allowance),
+		Smallest: encodeResources(u.Smallest), Largest: encodeResources(u.Largest),
+	}
+}
+
+func (w wireUsage) decode() quota.Usage {
+	return quota.Usage{
+		Used: w.Used.decode(), Demand: w.Demand.decode(), Allowance: w.Allowance.decode(),
+		Smallest: w.Smallest.decode(), Largest: w.Largest.decode(),
+	}
 }
 
 // wireWorkerLoad is what runs on a worker: the number of all tasks and of long-running ones.
@@ -83,7 +100,7 @@
 		w.Workers = append(w.Workers, wireWorkerLoad{ID: string(load.ID), Tasks: load.Tasks, LongRunning: load.LongRunning, Drained: load.Drained})
 	}
 	for id, usage := range report.Teams {
-		w.Teams[string(id)] = wireUsage{Used: encodeResources(usage.Used), Demand: encodeResources(usage.Demand), Allowance: encodeResources(usage.Allowance)}
+		w.Teams[string(id)] = encodeUsage(usage)
 	}
 	return w
 }
@@ -100,7 +117,7 @@
 		report.Workers = append(report.Workers, schedule.WorkerLoad{ID: fleet.InstanceID(load.ID), Tasks: load.Tasks, LongRunning: load.LongRunning, Drained: load.Drained})
 	}
 	for id, usage := range w.Teams {
-		report.Teams[fleet.TeamID(id)] = quota.Usage{Used: usage.Used.decode(), Demand: usage.Demand.decode(), Allowance: usage.Allowance.decode()}
+		report.Teams[fleet.TeamID(id)] = usage.decode()
 	}
 	return report
 }
--- a/owner/report.go
+++ b/owner/report.go
@@ -54,7 +54,7 @@
 	allowances := o.pool.Allowance()
 	for team, load := range o.pool.Teams() {
 		if o.isLimited(team) {
-			r.Teams[team] = quota.Usage{Used: load.Used, Demand: load.Demand, Allowance: allowances[team]}
+			r.Teams[team] = quota.Usage{Used: load.Used, Demand: load.Demand, Allowance: allowances[team], Smallest: load.Smallest, Largest: load.Largest}
 		}
 	}
 	for team, allowance := range allowances {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -1,7 +1,9 @@
 package quota
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"citronknot/clock"
 	"citronknot/fleet"
@@ -21,30 +23,44 @@
 	Used      job.Resources // by tasks that occupy a worker
 	Demand    job.Resources // Used plus the needs of waiting tasks
 	Allowance job.Resources // in force at the owner
+	// Smallest and Largest are what has to be free of the allowance for the smallest of the waiting tasks
+	// and gangs, and for each of them. Both are zero if nothing waits.
+	Smallest, Largest job.Resources
 }
 
 // Ledger records how much of each team's limit each pool may use, and is the only type that
-// divides limits. The zero value has no limits. A Ledger is not safe for concurrent use.
+// divides limits. Create one by [New]. A Ledger is not safe for concurrent use.
 type Ledger struct {
-	limits  map[fleet.TeamID]job.Resources
-	pools   map[fleet.PoolID]*poolAccount
+	teams   map[fleet.TeamID]*teamAccount // those with a limit
+	pools   []*poolAccount
 	started clock.Millis // when the fleet leader began; see New
 }
 
 // poolAccount is the record of one pool.
 type poolAccount struct {
-	fence            uint64                         // of the owner that reported last
-	reported         bool                           // an owner has reported since the ledger was created
-	reportedAt       clock.Millis                   // when the latest report was received
-	teams            map[fleet.TeamID]Usage         // as last reported
-	granted          map[fleet.TeamID]job.Resources // allowances in the latest response
-	formerOwner      map[fleet.TeamID]job.Resources // what the former owner may have been using
-	formerOwnerUntil clock.Millis                   // when formerOwner stops counting
+	id               fleet.PoolID
+	fence            uint64       // of the owner that reported last
+	reported         bool         // an owner has reported since the ledger was created
+	formerOwnerUntil clock.Millis // when what the former owner may have been using stops counting
+}
+
+// teamAccount is the record of one team.
+type teamAccount struct {
+	limit job.Resources
+	uses  []poolUse // by index of the pool
+}
+
+// poolUse is what a pool uses of a team's limit.
+type poolUse struct {
+	Usage                     // as last reported
+	granted     job.Resources // allowance in the latest response
+	formerOwner job.Resources // what the former owner may have been using
+	coveredAt   clock.Millis  // when an allowance was last granted that let a waiting task or gang start
 }
 
 // New returns a ledger for a fleet leader that begins at now.
 func New(now clock.Millis) *Ledger {
-	return &Ledger{limits: map[fleet.TeamID]job.Resources{}, pools: map[fleet.PoolID]*poolAccount{}, started: now}
+	return &Ledger{teams: map[fleet.TeamID]*teamAccount{}, started: now}
 }
 
 // Limit returns configured with [Unlimited] in each dimension that is 0, and reports whether
@@ -59,102 +75,151 @@
 	return limit, limited
 }
 
+// setUnlimited sets r to Unlimited in each dimension in which limit is.
+func setUnlimited(limit job.Resources, r *job.Resources) {
+	for _, d := range []struct {
+		limit int64
+		set   *int64
+	}{{limit.CPU, &r.CPU}, {limit.Memory, &r.Memory}, {limit.GPU, &r.GPU}} {
+		if d.limit >= Unlimited {
+			*d.set = Unlimited
+		}
+	}
+}
+
 // Configure sets the limits and adds the pools that can use them.
 func (l *Ledger) Configure(pools []fleet.PoolID, limits map[fleet.TeamID]job.Resources) {
 	for _, id := range pools {
-		if l.pools[id] == nil {
-			l.pools[id] = &poolAccount{}
-		}
+		l.pool(id)
 	}
-	clear(l.limits)
-	for team, configured := range limits {
-		if limit, limited := Limit(configured); limited {
-			l.limits[team] = limit
+	former := l.teams
+	l.teams = make(map[fleet.TeamID]*teamAccount, len(limits))
+	for id, configured := range limits {
+		limit, limited := Limit(configured)
+		if !limited {
+			continue
+		}
+		t := former[id]
+		if t == nil {
+			t = &teamAccount{uses: make([]poolUse, len(l.pools))}
 		}
+		t.limit = limit
+		l.teams[id] = t
 	}
 }
 
+// pool returns the index of a pool, which it adds if need be.
+func (l *Ledger) pool(id fleet.PoolID) int {
+	i := slices.IndexFunc(l.pools, func(a *poolAccount) bool { return a.id == id })
+	if i >= 0 {
+		return i
+	}
+	l.pools = append(l.pools, &poolAccount{id: id})
+	for _, t := range l.teams {
+		t.uses = append(t.uses, poolUse{})
+	}
+	return len(l.pools) - 1
+}
+
 // Report processes the use that the owner of a pool reports, and returns the allowances of the
 // pool from now on. It returns nil if an owner with a higher fence has reported.
 func (l *Ledger) Report(pool fleet.PoolID, fence uint64, teams map[fleet.TeamID]Usage, now clock.Millis) map[fleet.TeamID]job.Resources {
-	a := l.pools[pool]
-	if a == nil {
-		a = &poolAccount{}
-		l.pools[pool] = a
-	}
+	own := l.pool(pool)
+	a := l.pools[own]
 	if a.reported && fence < a.fence {
 		return nil // the owner was replaced
 	}
 	if a.reported && fence > a.fence {
-		a.formerOwner, a.formerOwnerUntil = a.outstandingAll(l.limits, now), now+unresponsiveTimeout
-		a.granted = nil
+		for _, t := range l.teams {
+			u := &t.uses[own]
+			u.formerOwner, u.granted = u.outstanding(now < a.formerOwnerUntil), job.Resources{}
+		}
+		a.formerOwnerUntil = now + unresponsiveTimeout
 	}
-	a.reported, a.fence, a.reportedAt, a.teams = true, fence, now, teams
-	out := make(map[fleet.TeamID]job.Resources, len(l.limits))
-	for team, limit := range l.limits {
-		out[team] = l.grant(pool, team, limit, now)
+	a.reported, a.fence = true, fence
+	growing := l.allReported(now)
+	out := make(map[fleet.TeamID]job.Resources, len(l.teams))
+	for id, t := range l.teams {
+		u := &t.uses[own]
+		u.Usage = teams[id]
+		granted := u.Allowance
+		if growing {
+			granted = l.grant(t, own, now)
+		}
+		u.granted = granted
+		if u.Used.Add(u.Smallest).Fits(granted) {
+			u.coveredAt = now
+		}
+		out[id] = granted
 	}
-	a.granted = out
 	return out
 }
 
-// outstanding returns the maximum that a pool may be using of a team's limit.
-func (a *poolAccount) outstanding(team fleet.TeamID, now clock.Millis) job.Resources {
-	u := a.teams[team]
-	sum := u.Used.Max(u.Allowance).Max(a.granted[team])
-	if now < a.formerOwnerUntil {
-		sum = sum.Max(a.formerOwner[team])
-	}
-	return sum
+// allReported reports whether the use of each pool is known. That of a pool which has not reported since the
+// ledger was created is not, for up to unresponsiveTimeout.
+func (l *Ledger) allReported(now clock.Millis) bool {
+	return now-l.started >= unresponsiveTimeout || !slices.ContainsFunc(l.pools, func(a *poolAccount) bool { return !a.reported })
 }
 
-// outstandingAll returns the outstanding amount of each team with a limit.
-func (a *poolAccount) outstandingAll(limits map[fleet.TeamID]job.Resources, now clock.Millis) map[fleet.TeamID]job.Resources {
-	out := make(map[fleet.TeamID]job.Resources, len(limits))
-	for team := range limits {
-		out[team] = a.outstanding(team, now)
+// outstanding returns the maximum that a pool may be using of a team's limit.
+func (u *poolUse) outstanding(former bool) job.Resources {
+	most := u.Used.Max(u.Allowance).Max(u.granted)
+	if former {
+		most = most.Max(u.formerOwner)
 	}
-	return out
+	return most
 }
 
-// grant returns a pool's allowance for one team. The allowance does not grow while another
-// pool has not reported since the ledger was created, for up to unresponsiveTimeout.
-func (l *Ledger) grant(pool fleet.PoolID, team fleet.TeamID, limit job.Resources, now clock.Millis) job.Resources {
-	own := l.pools[pool].teams[team]
-	var others, totalDemand job.Resources
+// grant returns a pool's allowance for one team: its share of the limit, but never more than what the other
+// pools leave.
+func (l *Ledger) grant(t *teamAccount, own int, now clock.Millis) job.Resources {
+	left := t.limit
+	var demand job.Resources
 	pools := int64(0)
-	for id, a := range l.pools {
+	for i, a := range l.pools {
 		if !a.reported {
-			if now-l.started < unresponsiveTimeout {
-				return own.Allowance // the use of that pool is unknown so far
-			}
 			continue
 		}
+		u := &t.uses[i]
 		pools++
-		totalDemand = totalDemand.Add(a.teams[team].Demand)
-		if id != pool {
-			others = others.Add(a.outstanding(team, now))
+		demand = demand.Add(u.Demand)
+		if i != own {
+			left = left.Sub(u.outstanding(now < a.formerOwnerUntil))
 		}
 	}
-	return job.Resources{
-		CPU:    divide(limit.CPU, others.CPU, own.Demand.CPU, totalDemand.CPU, pools),
-		Memory: divide(limit.Memory, others.Memory, own.Demand.Memory, totalDemand.Memory, pools),
-		GPU:    divide(limit.GPU, others.GPU, own.Demand.GPU, totalDemand.GPU, pools),
+	var share job.Resources
+	if demand.Fits(t.limit) {
+		share = surplusShare(t.limit, t.uses[own].Demand, demand, pools)
+	} else {
+		share = l.contendedShare(t, own)
 	}
+	granted := share.Min(left).Max(job.Resources{})
+	setUnlimited(t.limit, &granted)
+	return granted
 }
 
-// divide returns one pool's share of a limit in one dimension: its demand plus an even share of
-// the rest or, if the total demand exceeds the limit, a share in proportion to its demand. The
-// share never exceeds what the other pools leave.
-func divide(limit, others, demand, totalDemand, pools int64) int64 {
-	if limit >= Unlimited {
-		return Unlimited
+// contendedShare returns a pool's share of a limit that does not cover all demands. The pools that have
+// waited longest since they could start something have their turn first.
+func (l *Ledger) contendedShare(t *teamAccount, own int) job.Resources {
+	claims := make([]claim, 0, len(l.pools))
+	pools := make([]int, 0, len(l.pools)) // by index of the claim
+	ownClaim := 0
+	for i := range l.pools {
+		u := &t.uses[i]
+		if i == own {
+			ownClaim = len(claims)
+		}
+		if i == own || u.Demand != (job.Resources{}) { // pools that never reported have no demand
+			pools = append(pools, i)
+			claims = append(claims, claim{used: u.Used, demand: u.Demand, smallest: u.Smallest, largest: u.Largest})
+		}
 	}
-	var share int64
-	if totalDemand <= limit {
-		share = demand + (limit-totalDemand)/pools
-	} else {
-		share = int64(float64(limit) * float64(demand) / float64(totalDemand))
+	turns := make([]int, len(claims))
+	for i := range turns {
+		turns[i] = i
 	}
-	return max(0, min(share, limit-others))
+	slices.SortStableFunc(turns, func(i, k int) int {
+		return cmp.Compare(t.uses[pools[i]].coveredAt, t.uses[pools[k]].coveredAt)
+	})
+	return divide(t.limit, claims, turns)[ownClaim]
 }
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -21,6 +21,7 @@
 	allowance int64
 	used      int64
 	want      int64
+	unit      int64 // of a task or gang, which starts as a whole
 }
 
 // Guards against pools that together use more than a team's limit, for any demand, while responses
@@ -32,7 +33,7 @@
 		names := []fleet.PoolID{"a", "b", "c"}
 		pools := map[fleet.PoolID]*modelPool{}
 		for _, id := range names {
-			pools[id] = &modelPool{fence: 1}
+			pools[id] = &modelPool{fence: 1, unit: rapid.Int64Range(1, 60).Draw(t, "unit")}
 		}
 		ledger := quota.New(now)
 		configure := func() {
@@ -56,14 +57,17 @@
 				ledger = quota.New(now)
 				configure()
 			default:
-				out := ledger.Report(id, p.fence, map[fleet.TeamID]quota.Usage{team: {
-					Used: job.Resources{CPU: p.used}, Demand: job.Resources{CPU: max(p.used, p.want)}, Allowance: job.Resources{CPU: p.allowance},
-				}}, now)
+				u := quota.Usage{Used: cores(p.used), Demand: cores(max(p.used, p.want)), Allowance: cores(p.allowance)}
+				if p.want >= p.used+p.unit {
+					u.Smallest = cores(p.unit)
+					u.Largest = cores(rapid.Int64Range(p.unit, p.want-p.used).Draw(t, "largest"))
+				}
+				out := ledger.Report(id, p.fence, map[fleet.TeamID]quota.Usage{team: u}, now)
 				if rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
 					p.allowance = out[team].CPU
 				}
-				if p.want > p.used { // start what the allowance permits
-					p.used = max(p.used, min(p.want, p.allowance))
+				for p.used+p.unit <= min(p.want, p.allowance) { // start what the allowance permits
+					p.used += p.unit
 				}
 				now += 50
 			}
@@ -84,6 +88,7 @@
 	l := quota.New(0)
 	l.Configure([]fleet.PoolID{"a", "b"}, map[fleet.TeamID]job.Resources{team: {CPU: 100}})
 	have := map[fleet.PoolID]int64{}
+	var memory int64
 	want := map[fleet.PoolID]int64{"a": 10, "b": 10}
 	for round := range clock.Millis(6) {
 		if round == 3 {
@@ -92,8 +97,10 @@
 		for _, id := range []fleet.PoolID{"a", "b"} {
 			out := l.Report(id, 1, map[fleet.TeamID]quota.Usage{team: {Demand: job.Resources{CPU: want[id]}, Allowance: job.Resources{CPU: have[id]}}}, round)
 			have[id] = out[team].CPU
+			memory = out[team].Memory
 		}
 	}
+	must.Eq(t, quota.Unlimited, memory)
 	must.Eq(t, 100, have["a"])
 }
 
--- /dev/null
+++ b/quota/starvation_test.go
@@ -0,0 +1,208 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"citronknot/clock"
+	"citronknot/fleet"
+	"citronknot/job"
+	"citronknot/quota"
+)
+
+// waitingPool is the owner of a pool in which tasks or gangs of one size wait. It starts one as soon as its
+// allowance covers it.
+type waitingPool struct {
+	id        fleet.PoolID
+	unit      int64 // millicores of one task or gang
+	waiting   int   // tasks or gangs
+	room      int64 // millicores of the workers
+	runTime   clock.Millis
+	allowance int64
+	ends      []clock.Millis // of what runs
+	started   int
+	longest   clock.Millis // the longest time without a start while one was possible
+	lastStart clock.Millis
+}
+
+func (p *waitingPool) used() int64 { return int64(len(p.ends)) * p.unit }
+
+// usage returns the report of the pool.
+func (p *waitingPool) usage() quota.Usage {
+	u := quota.Usage{Used: cores(p.used()), Demand: cores(p.used() + int64(p.waiting)*p.unit), Allowance: cores(p.allowance)}
+	if p.waiting > 0 {
+		u.Smallest, u.Largest = cores(p.unit), cores(p.unit)
+	}
+	return u
+}
+
+func cores(millicores int64) job.Resources { return job.Resources{CPU: millicores} }
+
+// advance ends what is over and starts what the allowance and the workers permit.
+func (p *waitingPool) advance(now clock.Millis) {
+	for len(p.ends) > 0 && p.ends[0] <= now {
+		p.ends = p.ends[1:]
+	}
+	for p.waiting > 0 && p.used()+p.unit <= min(p.allowance, p.room) {
+		p.waiting--
+		p.started++
+		p.lastStart = now
+		p.ends = append(p.ends, now+p.runTime)
+	}
+	if p.waiting == 0 {
+		p.lastStart = now
+	}
+	p.longest = max(p.longest, now-p.lastStart)
+}
+
+// reportInterval is the time between two reports of a pool.
+const reportInterval clock.Millis = 120
+
+// simulate lets the pools report in turn until the given time.
+func simulate(t *testing.T, limit int64, pools []*waitingPool, until clock.Millis) {
+	t.Helper()
+	l := quota.New(0)
+	var ids []fleet.PoolID
+	for _, p := range pools {
+		ids = append(ids, p.id)
+	}
+	l.Configure(ids, map[fleet.TeamID]job.Resources{team: cores(limit)})
+	for now := clock.Millis(0); now < until; now += reportInterval {
+		for _, p := range pools {
+			out := l.Report(p.id, 1, map[fleet.TeamID]quota.Usage{team: p.usage()}, now)
+			p.allowance = out[team].CPU
+			p.advance(now)
+		}
+		var sum int64
+		for _, p := range pools {
+			sum += p.used()
+		}
+		must.LessEq(t, limit, sum)
+	}
+}
+
+// Guards against a task or gang that does not start while the limit has room, because its pool's share of the
+// limit is below what it needs. The load: a long backlog of the team in other pools whose workers are full, so that
+// they use little of what they are granted.
+func TestWaitingUnitStartsWhileLimitHasRoom(t *testing.T) {
+	const limit = 100_000
+	for _, c := range []struct {
+		name string
+		unit int64
+	}{{"task", 950}, {"gang", 6 * 950}, {"gang of over half of the limit", 60_000}} {
+		for _, backlogPools := range []int{1, 4, 12} {
+			t.Run(fmt.Sprintf("%s beside %d pools", c.name, backlogPools), func(t *testing.T) {
+				small := &waitingPool{id: "small", unit: c.unit, waiting: 1, room: limit, runTime: 1000}
+				pools := []*waitingPool{small}
+				for i := range backlogPools {
+					pools = append(pools, &waitingPool{
+						id: fleet.PoolID(fmt.Sprintf("large-%d", i)), unit: 1000, waiting: 300, room: 20_000 / int64(backlogPools), runTime: 10_000,
+					})
+				}
+				simulate(t, limit, pools, 2000)
+				must.Eq(t, 1, small.started)
+			})
+		}
+	}
+}
+
+// Guards against a gang that waits for good beside small tasks of its team, which keep waiting in the same pool: what is
+// granted has to cover the gang as well, if the limit has room for it.
+func TestGangIsCoveredBesideSmallTasks(t *testing.T) {
+	const limit = 100_000
+	ids := []fleet.PoolID{"a", "b", "c", "d"}
+	l := quota.New(0)
+	l.Configure(ids, map[fleet.TeamID]job.Resources{team: cores(limit)})
+	have := map[fleet.PoolID]int64{}
+	largest := int64(0)
+	for now := clock.Millis(0); now < 2000; now += reportInterval {
+		for _, id := range ids {
+			u := quota.Usage{Used: cores(10_000), Demand: cores(300_000), Allowance: cores(have[id]), Smallest: cores(1000), Largest: cores(1000)}
+			if id == "b" {
+				u.Largest = cores(50_000)
+			}
+			have[id] = l.Report(id, 1, map[fleet.TeamID]quota.Usage{team: u}, now)[team].CPU
+			largest = max(largest, have["b"])
+		}
+	}
+	must.GreaterEq(t, 10_000+50_000, largest)
+}
+
+// Guards against a pool that starts nothing for long because the others' gangs take the whole limit: gangs of
+// which only one fits into the limit at a time run in turn.
+func TestGangsThatFillLimitRunInTurn(t *testing.T) {
+	const pools, limit, runTime = 5, 100_000, 500
+	var all []*waitingPool
+	for i := range pools {
+		all = append(all, &waitingPool{id: fleet.PoolID(fmt.Sprintf("p%d", i)), unit: 60_000, waiting: 1000, room: limit, runTime: runTime})
+	}
+	simulate(t, limit, all, 60_000)
+	for _, p := range all {
+		must.GreaterEq(t, 6, p.started, must.Sprint(p.id))
+		must.LessEq(t, 3*pools*runTime, p.longest, must.Sprint(p.id))
+	}
+}
+
+// Guards against a share that goes unused because a pool waits for room that its workers do not have: another one
+// takes its turn.
+func TestTurnPassesFromPoolWithoutRoom(t *testing.T) {
+	const limit = 100_000
+	full := &waitingPool{id: "full", unit: 60_000, waiting: 10, room: 1000, runTime: 500}
+	free := &waitingPool{id: "unused", unit: 60_000, waiting: 10, room: limit, runTime: 500}
+	simulate(t, limit, []*waitingPool{full, free}, 20_000)
+	must.Eq(t, 10, free.started)
+}
+
+// Guards against small demands that are cut because a large one exceeds the limit, and against an uneven
+// division among large ones.
+func TestSmallDemandsAreCoveredFirst(t *testing.T) {
+	l := quota.New(0)
+	demands := map[fleet.PoolID]int64{"a": 950, "b": 300_000, "c": 90_000, "d": 5000}
+	ids := []fleet.PoolID{"a", "b", "c", "d"}
+	l.Configure(ids, map[fleet.TeamID]job.Resources{team: cores(100_000)})
+	have := map[fleet.PoolID]int64{}
+	var memory int64
+	for round := range clock.Millis(5) {
+		for _, id := range ids {
+			out := l.Report(id, 1, map[fleet.TeamID]quota.Usage{team: {Demand: cores(demands[id]), Allowance: cores(have[id]), Smallest: cores(950), Largest: cores(950)}}, round)
+			have[id] = out[team].CPU
+			memory = out[team].Memory
+		}
+	}
+	must.Eq(t, quota.Unlimited, memory)
+	must.Eq(t, map[fleet.PoolID]int64{"a": 950, "b": 47_025, "c": 47_025, "d": 5000}, have)
+}
+
+// BenchmarkLedgerReport measures one report of a pool at the target size: 82 pools and 150 teams with a
+// limit, some of which have waiting work in a few pools and some of which want more than their limit.
+func BenchmarkLedgerReport(b *testing.B) {
+	const pools, teams = 82, 150
+	l := quota.New(0)
+	var ids []fleet.PoolID
+	for i := range pools {
+		ids = append(ids, fleet.PoolID(fmt.Sprintf("p%d", i)))
+	}
+	limits := map[fleet.TeamID]job.Resources{}
+	for i := range teams {
+		limits[fleet.TeamID(fmt.Sprintf("t%d", i))] = cores(100_000)
+	}
+	l.Configure(ids, limits)
+	reports := make([]map[fleet.TeamID]quota.Usage, pools)
+	for p := range pools {
+		reports[p] = map[fleet.TeamID]quota.Usage{}
+		for k := range 12 {
+			n := (p*7 + k*13) % teams
+			reports[p][fleet.TeamID(fmt.Sprintf("t%d", n))] = quota.Usage{
+				Used: cores(3000), Demand: cores(3000 + int64(n%10)*4000), Smallest: cores(500), Largest: cores(4000),
+			}
+		}
+	}
+	n := 0
+	for b.Loop() {
+		p := n % pools
+		n++
+		l.Report(ids[p], 1, reports[p], clock.Millis(20_000+n))
+	}
+}
--- a/schedule/load.go
+++ b/schedule/load.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"slices"
 
 	"citronknot/clock"
@@ -30,6 +31,27 @@
 type TeamLoad struct {
 	Used   job.Resources
 	Demand job.Resources // Used plus the needs of the waiting tasks
+	// Smallest is what the smallest of the waiting tasks and gangs needs to start, and Largest covers each
+	// of them. Both are zero if nothing waits.
+	Smallest, Largest job.Resources
+}
+
+// addWaiting adds the waiting tasks of a step. A gang of which some tasks have not ended can't start.
+func (l *TeamLoad) addWaiting(s *stepRun) {
+	l.Demand = l.Demand.Add(s.spec.Needs.Scale(int64(s.waitingTasks)))
+	if s.spec.Gang && s.waitingTasks < len(s.tasks) {
+		return
+	}
+	unit := s.unitNeeds()
+	l.Largest = l.Largest.Max(unit)
+	if l.Smallest == (job.Resources{}) || compareResources(unit, l.Smallest) < 0 {
+		l.Smallest = unit
+	}
+}
+
+// compareResources orders resources by CPU, memory and GPUs.
+func compareResources(a, b job.Resources) int {
+	return cmp.Or(cmp.Compare(a.CPU, b.CPU), cmp.Compare(a.Memory, b.Memory), cmp.Compare(a.GPU, b.GPU))
 }
 
 // Load returns the load of the pool at now.
@@ -141,7 +163,7 @@
 	for _, s := range p.ready.steps {
 		if s.waitingTasks > 0 && !s.job.state.Final() {
 			l := out[s.job.Team]
-			l.Demand = l.Demand.Add(s.spec.Needs.Scale(int64(s.waitingTasks)))
+			l.addWaiting(s)
 			out[s.job.Team] = l
 		}
 	}
