schedule: count a lost run of a gang once among the doubts

What callers saw: a gang that was cut off together with its workers waited for a trial, for which several workers have to be free together.

Cause: Pool.addDoubt added the weight of a lost run to its gang once for each silent worker, so that one run that was lost in one cut weighed as much as several crashes. A crash of one of the workers added to the doubt about the others in the same way.

Change: a unit keeps the crashes that its doubted runs would count as, and each run weighs once, by the heaviest; not at all if it is recorded as a crash already.

Tests: TestCutCountsOnceAgainstGang (failed before on two and four workers), TestSeveralLostRunsOfGangAreDoubted (failed before at its first cut; holds the remaining suspicion).

--- a/schedule/doubt.go
+++ b/schedule/doubt.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"slices"
+
 	"citronknot/clock"
 	"citronknot/fleet"
 )
@@ -29,11 +31,32 @@
 	p.doubts[w.ID] = &doubt{incarnation: w.Incarnation, machine: w.Machine, since: now, runs: runs}
 	for _, l := range runs {
 		u := l.task.unit()
-		u.doubtWeight += crashWeight(l.crash)
+		u.doubted = append(u.doubted, l.crash)
 		p.updateSuspicion(u)
 	}
 }
 
+// doubtWeight returns the weight, in the suspicion against a unit, of its runs that were lost with silent
+// workers. A run of a gang may be lost with several workers, and with others that have certainly crashed; it
+// counts once.
+func (t *task) doubtWeight() int {
+	if len(t.doubted) == 0 {
+		return 0
+	}
+	weights := map[int]int{} // by run
+	for _, c := range t.doubted {
+		weights[c.Run] = max(weights[c.Run], crashWeight(c))
+	}
+	for _, c := range t.crashes() {
+		delete(weights, c.Run)
+	}
+	total := 0
+	for _, w := range weights {
+		total += w
+	}
+	return total
+}
+
 // resolveDoubt ends the doubt about a silent worker: it has crashed, or it was cut off.
 func (p *Pool) resolveDoubt(id fleet.InstanceID, crashed bool, now clock.Millis) {
 	d := p.doubts[id]
@@ -43,7 +66,9 @@
 	delete(p.doubts, id)
 	for _, l := range d.runs {
 		u := l.task.unit()
-		u.doubtWeight -= crashWeight(l.crash)
+		if i := slices.Index(u.doubted, l.crash); i >= 0 {
+			u.doubted = slices.Delete(u.doubted, i, i+1)
+		}
 		p.updateSuspicion(u)
 		if crashed {
 			p.recordCrash(l, now)
--- a/schedule/gang_test.go
+++ b/schedule/gang_test.go
@@ -1,6 +1,7 @@
 package schedule_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -93,3 +94,60 @@
 	next.commitChanges()
 	must.Eq(t, job.Failed, next.jobState(1))
 }
+
+// Guards against a gang that has to start in a trial after one cut of the network, because its one lost run
+// counts once for each worker that is cut off.
+func TestCutCountsOnceAgainstGang(t *testing.T) {
+	for _, workers := range []int{1, 2, 4} {
+		h := newHarness(t, workers)
+		gang := newGang(16 * workers)
+		h.pool.Add(newJob(1, gang), testPolicy, nil, 0, 0)
+		started := h.acceptStarts(10)
+		must.Len(t, gang.Count, started)
+		h.now += 5000
+		for i := range workers {
+			h.pool.SetReachable(workerID(i), false, h.now)
+		}
+		h.now += 5000
+		for i := range workers {
+			h.pool.ExpireLeases(workerID(i), h.now)
+		}
+		must.Eq(t, 0, h.pool.Suspects(), must.Sprintf("%d workers", workers))
+		for i := range workers {
+			h.addWorker(fleet.InstanceID(fmt.Sprintf("other%d", i)), 16000)
+		}
+		must.Len(t, gang.Count, h.acceptStarts(10), must.Sprintf("%d workers", workers))
+		h.pool.RemoveWorker("w0", schedule.LossCrash, "another incarnation", h.now)
+		must.Eq(t, 0, h.pool.Suspects(), must.Sprintf("%d workers, one of which had crashed", workers))
+	}
+}
+
+// Guards against doubts that are lost with the fix of the one above: a gang whose runs are lost twice with silent
+// workers soon after their starts is suspected, and is not once the workers respond.
+func TestSeveralLostRunsOfGangAreDoubted(t *testing.T) {
+	h := newHarness(t, 2)
+	h.pool.Add(newJob(1, newGang(32)), testPolicy, nil, 0, 0)
+	must.Len(t, 32, h.acceptStarts(10))
+	silence := func(ids ...fleet.InstanceID) {
+		h.now += 5000
+		for _, id := range ids {
+			h.pool.SetReachable(id, false, h.now)
+		}
+		h.now += 5000
+		for _, id := range ids {
+			h.pool.ExpireLeases(id, h.now)
+		}
+	}
+	silence("w0", "w1")
+	h.addWorker("w2", 16000)
+	h.addWorker("w3", 16000)
+	must.Len(t, 32, h.acceptStarts(10))
+	silence("w2", "w3")
+	must.Eq(t, 1, h.pool.Suspects())
+	h.pool.SetReachable("w0", true, h.now)
+	h.planAfter(10)
+	must.Eq(t, 1, h.pool.Suspects(), must.Sprint("the run may have crashed the other worker"))
+	h.pool.SetReachable("w1", true, h.now)
+	h.planAfter(10)
+	must.Eq(t, 0, h.pool.Suspects())
+}
--- a/schedule/suspicion.go
+++ b/schedule/suspicion.go
@@ -127,7 +127,7 @@
 // updateSuspicion derives the suspicion against a unit from its crashes, and adds the unit to the
 // suspects if need be.
 func (p *Pool) updateSuspicion(u *task) {
-	u.suspicion = suspicionOf(u.crashes(), p.unexplained(u), u.doubtWeight)
+	u.suspicion = suspicionOf(u.crashes(), p.unexplained(u), u.doubtWeight())
 	if u.suspicion == startApart && u.step.spec.Gang {
 		u.suspicion = startAlone // its tasks need several workers anyway
 	}
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -71,9 +71,9 @@
 	// the worker may carry it out.
 	callEnds clock.Millis
 	// Of a task, or of the first task of a gang:
-	failedOn    map[*worker]bool // workers on which a run failed
-	suspicion   suspicion
-	doubtWeight int // of runs lost with workers that were silent and may have crashed; see crashWeight
+	failedOn  map[*worker]bool // workers on which a run failed
+	suspicion suspicion
+	doubted   []job.Crash // runs lost with workers that were silent, as they count if these have crashed
 }
 
 // ref returns the task's reference for orders and reports.
