schedule: blame a gang only for crashes that one of its members may have caused

What callers saw: a gang on several workers is given up, and its job shown as failed, in a pool whose workers crash for other causes.

Cause: each crash of a worker of a gang's trial counted as one that the gang had caused alone, at any age. The member that crashes its worker is the same one each time; the record did not tell which members had run on the crashed worker.

Change: the owner remembers which members were lost in each crash that it records, and blames a gang if the crashes that one member may have caused are enough for a task. Crashes that an earlier owner recorded may be any member's.

--- a/job/progress.go
+++ b/job/progress.go
@@ -33,7 +33,7 @@
 // to a worker, which the worker may then forget: a task must never start again once its successful
 // run was acknowledged, and each acknowledged failure counts against the attempts. It also
 // contains the crashes of workers that count against tasks. A gang counts as a whole, at the position
-// of its first task, in all fields but Done. The zero value is the progress of a new job.
+// of its first task, in all fields but Done and Trials: each member's trial names its worker. The zero value is the progress of a new job.
 type Progress struct {
 	State    State
 	Cause    string             // why a final state was reached
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 
 	"citronknot/clock"
@@ -18,27 +19,39 @@
 
 func idOf(c job.Crash) crashID { return crashID{worker: c.Worker, incarnation: c.Incarnation} }
 
-// lostRun is a run that was lost with its worker.
+// lostRun is a run of a task or gang that was lost with its worker.
 type lostRun struct {
-	task  *task
-	crash job.Crash // as it counts if the worker has crashed
+	task    *task
+	members []int     // indexes of the tasks that ran there: several of a gang
+	crash   job.Crash // as it counts if the worker has crashed
+}
+
+// lostMembers are the tasks of a gang that were lost in a run with workers that crashed.
+type lostMembers struct {
+	run     int
+	members []int // indexes
 }
 
 // lostRuns returns what a crash of the worker says of each of its runs; those of a gang count once. Runs that
 // may have been lost with a former incarnation do not count.
 func (w *worker) lostRuns(now clock.Millis) []lostRun {
-	units := map[*task]bool{}
+	indexes := map[*task]int{} // by unit, in out
 	out := make([]lostRun, 0, len(w.tasks))
 	started := map[*Job]bool{} // jobs with a run that had just been started
 	for _, t := range w.sortedTasks() {
-		if t.state != recording && t.keptSince == 0 && !units[t.unit()] {
-			units[t.unit()] = true
-			l := lostRun{task: t, crash: w.crashOf(t, now)}
-			if l.crash.Age <= startupTime {
-				started[t.step.job] = true
-			}
-			out = append(out, l)
+		if t.state == recording || t.keptSince != 0 {
+			continue
 		}
+		if i, ok := indexes[t.unit()]; ok {
+			out[i].members = append(out[i].members, t.index)
+			continue
+		}
+		l := lostRun{task: t, members: []int{t.index}, crash: w.crashOf(t, now)}
+		if l.crash.Age <= startupTime {
+			started[t.step.job] = true
+		}
+		indexes[t.unit()] = len(out)
+		out = append(out, l)
 	}
 	for i := range out {
 		out[i].crash.Peers = len(started)
@@ -88,6 +101,7 @@
 		return
 	}
 	crashes := j.progress.AddCrash(u.position(), l.crash)
+	u.lost = append(u.lost, lostMembers{run: l.crash.Run, members: l.members})
 	p.markDirty(j)
 	p.updateSuspicion(u)
 	if l.crash.Alone {
@@ -99,11 +113,33 @@
 			Detail: fmt.Sprintf("next start %s; crashed workers: %s", u.suspicion, describeCrashes(crashes)),
 		})
 	}
-	if blamed(crashes) {
+	if slices.ContainsFunc(l.members, func(member int) bool { return blamed(u.crashesUnder(member)) }) {
 		p.giveUp(u, now)
 	}
 }
 
+// crashesUnder returns the crashes of a unit that one of its members may have caused. A gang runs on
+// several workers, any of which may crash for another cause, but the member that crashes its worker is the
+// same one each time. Which members were lost in a crash is known unless an earlier owner recorded it.
+func (t *task) crashesUnder(member int) []job.Crash {
+	if !t.step.spec.Gang {
+		return t.crashes()
+	}
+	return slices.DeleteFunc(slices.Clone(t.crashes()), func(c job.Crash) bool {
+		known := false
+		for _, l := range t.lost {
+			if l.run != c.Run {
+				continue
+			}
+			if slices.Contains(l.members, member) {
+				return false
+			}
+			known = true
+		}
+		return known
+	})
+}
+
 // giveUp fails the job of a task that crashes its workers. It is the only function that does so.
 func (p *Pool) giveUp(u *task, now clock.Millis) {
 	crashes := u.crashes()
--- a/schedule/gang_test.go
+++ b/schedule/gang_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"citronknot/clock"
 	"citronknot/fleet"
 	"citronknot/job"
 	"citronknot/schedule"
@@ -151,3 +152,40 @@
 	h.planAfter(10)
 	must.Eq(t, 0, h.pool.Suspects())
 }
+
+// Guards against a wide gang that is given up because its workers crash for other causes: each crash counted as one
+// that the gang had caused alone, whichever member was lost in it, so that a gang on four workers was
+// blamed four times as easily as a task.
+func TestWideGangIsNotBlamedForChance(t *testing.T) {
+	s := newCrashSimulation(t, 12)
+	s.runTime = 3000
+	gang := newGang(4)
+	gang.Needs.CPU, gang.Estimate = 40_000, s.runTime // one member on each worker
+	n := s.addSteps(gang)
+	for crash := range clock.Millis(6) {
+		lost := s.ref(n, int(crash)%gang.Count)
+		s.runUntil(func() bool { return s.workerOf(lost) != nil })
+		s.run(200 + 300*crash)
+		s.crash(s.workerOf(lost))
+		s.run(workerDowntime)
+	}
+	must.Len(t, 4, s.startedAlone()[:4])
+	must.Len(t, 0, s.eventsOf("task_given_up"))
+	s.run(10_000)
+	must.Eq(t, job.Complete, s.pool.Job(jobID(n)).State())
+}
+
+// Guards against a gang that is never blamed, or too late: one member crashes its worker, wherever it runs.
+func TestMemberThatCrashesWorkersIsBlamed(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newCrashSimulation(t, 12)
+		s.rand = rand.New(rand.NewPCG(seed, 2))
+		gang := newGang(4)
+		gang.Needs.CPU, s.runTime = 40_000, 3000
+		ref := s.ref(s.addSteps(gang), int(seed%4))
+		s.deadly[ref] = true
+		s.crashDelay = clock.Millis(10 + s.rand.Int64N(2000))
+		s.run(60_000)
+		s.checkDeadlyJobs()
+	}
+}
--- a/schedule/restart.go
+++ b/schedule/restart.go
@@ -155,7 +155,7 @@
 	p.unassign(t, now)
 	p.requeueOrBlock(t, now)
 	if crash != nil {
-		p.recordCrash(lostRun{task: t, crash: *crash}, now)
+		p.recordCrash(lostRun{task: t, members: []int{t.index}, crash: *crash}, now)
 	}
 	p.endRecordedTrial(t, t.run)
 }
--- a/schedule/suspicion.go
+++ b/schedule/suspicion.go
@@ -206,6 +206,7 @@
 		return
 	}
 	u.step.job.progress.ForgetCrashes(u.position())
+	u.lost = nil
 	p.markDirty(u.step.job)
 	p.emit(Event{Kind: "task_cleared", Task: u.ref(), Run: u.run, Worker: u.worker.ID, Detail: fmt.Sprintf("its run has gone on for %d ms", now-u.stateSince)})
 	p.updateSuspicion(u)
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -73,7 +73,8 @@
 	// Of a task, or of the first task of a gang:
 	failedOn  map[*worker]bool // workers on which a run failed
 	suspicion suspicion
-	doubted   []job.Crash // runs lost with workers that were silent, as they count if these have crashed
+	lost      []lostMembers // of the crashes that this owner has recorded
+	doubted   []job.Crash   // runs lost with workers that were silent, as they count if these have crashed
 }
 
 // ref returns the task's reference for orders and reports.
--- a/schedule/trial_recovery.go
+++ b/schedule/trial_recovery.go
@@ -35,7 +35,7 @@
 			return false
 		}
 		if crashed {
-			p.recordCrash(lostRun{task: u.task, crash: job.Crash{Run: u.Run, Worker: w.ID, Incarnation: w.Incarnation, Age: -1, Alone: u.Alone}}, now)
+			p.recordCrash(lostRun{task: u.task, members: []int{u.task.index}, crash: job.Crash{Run: u.Run, Worker: w.ID, Incarnation: w.Incarnation, Age: -1, Alone: u.Alone}}, now)
 		}
 		return true
 	})
@@ -48,7 +48,7 @@
 		if w := p.workers[u.Worker]; w != nil && w.Incarnation == u.Incarnation {
 			return false
 		}
-		p.recordCrash(lostRun{task: u.task, crash: job.Crash{Run: u.Run, Worker: u.Worker, Incarnation: u.Incarnation, Age: -1}}, now)
+		p.recordCrash(lostRun{task: u.task, members: []int{u.task.index}, crash: job.Crash{Run: u.Run, Worker: u.Worker, Incarnation: u.Incarnation, Age: -1}}, now)
 		return true
 	})
 }
