--- a/cmd/jobload/drive.go
+++ b/cmd/jobload/drive.go
@@ -31,19 +31,30 @@
 	members     []*hosted.Process
 	callerAddrs []string // addresses that accept calls of clients
 	client      *http.Client
+	random      *rand.Rand // of the seed; decides about the next job
 }
 
+// attempts is the number of failed runs after which a job fails.
+const attempts = 3
+
+// The gangs' members on the workers wait for each other and end some polls apart.
+const (
+	gangWait   = 3 * time.Second
+	gangSpread = 300 * time.Millisecond
+)
+
 // startCluster starts the stand-ins of the store and the workers, and the members.
 func startCluster(opts *options, log *slog.Logger) (*cluster, error) {
-	c := &cluster{options: opts, client: &http.Client{Timeout: 5 * time.Second}}
+	c := &cluster{options: opts, client: &http.Client{Timeout: 5 * time.Second}, random: rand.New(rand.NewPCG(opts.Seed, 0))}
+	gangs := &deployment.Gangs{Wait: gangWait, Spread: gangSpread, Seed: opts.Seed}
 	c.storeServer = httptest.NewServer(&c.store)
 	c.store.Put("op", "", "config", map[string]any{
 		"version":  1,
-		"routes":   []map[string]any{{"name": "load", "host": "load.example", "pathPrefix": "/", "backend": "load", "public": true, "attempts": 3, "stretch": 1.6, "sloMs": 600}},
+		"routes":   []map[string]any{{"name": "load", "host": "load.example", "pathPrefix": "/", "backend": "load", "public": true, "attempts": attempts, "stretch": 1.6, "sloMs": 600}},
 		"backends": []map[string]any{{"name": "load", "admissionCheck": true}},
 	})
 	for i := range opts.Workers {
-		w := &deployment.Worker{ID: fmt.Sprintf("w%d", i), Pool: "load", Zone: "z1", CPU: 16000, MemMB: 32768, Store: &c.store}
+		w := &deployment.Worker{ID: fmt.Sprintf("w%d", i), Pool: "load", Zone: "z1", CPU: 16000, MemMB: 32768, Store: &c.store, Gangs: gangs}
 		if err := w.Start(); err != nil {
 			c.close()
 			return nil, err
@@ -90,6 +101,45 @@
 	c.storeServer.Close()
 }
 
+// loadJob is a job of the load.
+type loadJob struct {
+	id       string
+	tasks    int
+	gang     bool
+	failures []int // members that fail in the first runs of a gang; see deployment.GangSpec
+}
+
+// nextJob returns the nth job of the load. Each number of failed runs of a gang is as likely, up to those after
+// which the job fails.
+func (c *cluster) nextJob(n int) loadJob {
+	j := loadJob{id: fmt.Sprintf("%016x", n), tasks: c.options.Tasks, gang: c.random.Float64() < c.options.GangShare}
+	if !j.gang {
+		return j
+	}
+	j.tasks = 2 + c.random.IntN(c.options.GangWidth-1)
+	for range c.random.IntN(attempts + 1) {
+		j.failures = append(j.failures, 1+c.random.IntN(j.tasks))
+	}
+	return j
+}
+
+// body returns the body of the job's submission.
+func (j *loadJob) body(taskTime time.Duration) string {
+	spec := fmt.Sprint(taskTime.Milliseconds())
+	if j.gang {
+		spec = deployment.GangSpec(taskTime, j.tasks, j.failures...)
+	}
+	return fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":500,"memMb":64,"estMs":%d,"gang":%t}]}`, spec, j.tasks, taskTime.Milliseconds(), j.gang)
+}
+
+// outcome returns the final state that the job has to reach.
+func (j *loadJob) outcome() string {
+	if len(j.failures) >= attempts {
+		return "failed"
+	}
+	return "complete"
+}
+
 // result counts the outcomes of the jobs.
 type result struct {
 	mu              sync.Mutex
@@ -97,9 +147,39 @@
 	refused         int
 	unknown         int
 	complete        int
-	lost            int // accepted and not complete in time
+	failed          int // as they had to
+	lost            int // accepted and in no final state in time
+	wrong           []string
 	completionTimes []time.Duration
-	duplicateRuns   []string // one message for each duplicate run of a task
+	ended           []endedJob
+	longestWait     time.Duration // for which no task of a job ran
+	duplicateRuns   []string      // one message for each duplicate run of a task
+}
+
+// endedJob is a job that was seen in a final state.
+type endedJob struct {
+	id          string
+	start, seen time.Time
+}
+
+// longestAllowedWait is the longest time for which no task of a job may run while there is room.
+const longestAllowedWait = 3 * time.Second
+
+// ok reports whether the system did what it has to.
+func (r *result) ok() bool {
+	return r.lost == 0 && len(r.wrong) == 0 && len(r.duplicateRuns) == 0 && r.longestWait <= longestAllowedWait
+}
+
+// check examines the runs on the workers after the end of the load. The workers have room at all times, so that
+// jobs wait only while the pool changes its owner.
+func (r *result) check(workers []*deployment.Worker, ownerKilled bool) {
+	r.duplicateRuns = deployment.DuplicateRuns(workers)
+	if ownerKilled {
+		return
+	}
+	for _, j := range r.ended {
+		r.longestWait = max(r.longestWait, deployment.LongestWait(workers, j.id, j.start, j.seen))
+	}
 }
 
 // submitJobs submits jobs at the configured rate and waits until they are complete or ctx ends.
@@ -115,11 +195,12 @@
 			c.killOwner()
 			ownerKilled = true
 		}
-		wg.Go(func() { c.runJob(ctx, r, fmt.Sprintf("%016x", n+1)) })
+		j := c.nextJob(n + 1)
+		wg.Go(func() { c.runJob(ctx, r, j) })
 		<-ticker.C
 	}
 	wg.Wait()
-	r.duplicateRuns = deployment.DuplicateRuns(c.workers)
+	r.check(c.workers, c.options.KillAt > 0)
 	return r
 }
 
@@ -134,13 +215,37 @@
 	}
 }
 
-// runJob submits one job, waits until it is complete, and adds its outcome to r.
-func (c *cluster) runJob(ctx context.Context, r *result, id string) {
+// runJob submits one job, waits until it is in a final state, and adds its outcome to r.
+func (c *cluster) runJob(ctx context.Context, r *result, j loadJob) {
 	start := time.Now()
-	body := fmt.Sprintf(`{"spec":"%d","steps":[{"count":%d,"cpu":500,"memMb":64,"estMs":%d}]}`,
-		c.options.TaskTime.Milliseconds(), c.options.Tasks, c.options.TaskTime.Milliseconds())
-	status, _ := c.callMember(ctx, http.MethodPost, id, body)
+	status, _ := c.callMember(ctx, http.MethodPost, j.id, j.body(c.options.TaskTime))
+	r.addSubmission(status)
+	if status != http.StatusOK {
+		return
+	}
+	state := c.awaitFinalState(ctx, j.id)
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	if state == "" {
+		r.lost++
+		return
+	}
+	r.ended = append(r.ended, endedJob{id: j.id, start: start, seen: time.Now()})
+	switch {
+	case state != j.outcome():
+		r.wrong = append(r.wrong, fmt.Sprintf("job %s is %s after %d failed runs of %d", j.id, state, deployment.FailedRuns(c.workers, j.id), attempts))
+	case state == "failed":
+		r.failed++
+	default:
+		r.complete++
+		r.completionTimes = append(r.completionTimes, time.Since(start))
+	}
+}
+
+// addSubmission counts the response to a submission.
+func (r *result) addSubmission(status int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	switch status {
 	case http.StatusOK:
 		r.accepted++
@@ -149,35 +254,23 @@
 	default:
 		r.unknown++
 	}
-	r.mu.Unlock()
-	if status != http.StatusOK {
-		return
-	}
-	completed := c.awaitCompletion(ctx, id)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !completed {
-		r.lost++
-		return
-	}
-	r.complete++
-	r.completionTimes = append(r.completionTimes, time.Since(start))
 }
 
 // pollInterval is the time between two reads of a job's state.
 const pollInterval = 25 * time.Millisecond
 
-// awaitCompletion polls the state of a job and reports whether it was complete before ctx ended.
-func (c *cluster) awaitCompletion(ctx context.Context, id string) bool {
+// awaitFinalState polls the state of a job until it is final, and returns it. It returns an empty text if ctx
+// ends before.
+func (c *cluster) awaitFinalState(ctx context.Context, id string) string {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
-		if status, state := c.callMember(ctx, http.MethodGet, id, ""); status == http.StatusOK && state == "complete" {
-			return true
+		if status, state := c.callMember(ctx, http.MethodGet, id, ""); status == http.StatusOK && (state == "complete" || state == "failed") {
+			return state
 		}
 		select {
 		case <-ctx.Done():
-			return false
+			return ""
 		case <-ticker.C:
 		}
 	}
@@ -223,17 +316,20 @@
 		{"refused", r.refused},
 		{"unknown", r.unknown},
 		{"complete", r.complete},
+		{"failed", r.failed},
+		{"wrong", len(r.wrong)},
 		{"lost", r.lost},
 		{"doubled", len(r.duplicateRuns)},
 		{"time, median", quantile(0.5)},
 		{"time, 95th", quantile(0.95)},
 		{"time, longest", quantile(1)},
+		{"wait, longest", r.longestWait.Round(time.Millisecond)},
 	} {
 		if _, err := fmt.Fprintf(table, "%s\t%v\n", row.name, row.value); err != nil {
 			return err
 		}
 	}
-	for _, line := range r.duplicateRuns {
+	for _, line := range slices.Concat(r.wrong, r.duplicateRuns) {
 		if _, err := fmt.Fprintln(table, line); err != nil {
 			return err
 		}
--- a/cmd/jobload/main.go
+++ b/cmd/jobload/main.go
@@ -25,6 +25,9 @@
 	TaskTime  time.Duration  `long:"work" env:"CITRONKNOT_JOBLOAD_WORK" default:"300ms" description:"run time of each task, up to 1m"`
 	FirstPort uint16         `long:"port" env:"CITRONKNOT_JOBLOAD_PORT" default:"24000" description:"first port of the members, which use 4 ports each, 1024 to 60000"`
 	Profile   flags.Filename `long:"cpu-profile" description:"file for a CPU profile of the whole run"`
+	GangShare float64        `long:"gang-share" env:"CITRONKNOT_JOBLOAD_GANG_SHARE" default:"0" description:"part of the jobs that are gangs, 0 to 1; some of their runs fail"`
+	GangWidth int            `long:"gang-width" env:"CITRONKNOT_JOBLOAD_GANG_WIDTH" default:"4" description:"largest number of tasks of a gang, 2 to 100"`
+	Seed      uint64         `long:"seed" env:"CITRONKNOT_JOBLOAD_SEED" default:"1" description:"decides which jobs are gangs and how their runs end"`
 	KillAt    time.Duration  `long:"kill-at" env:"CITRONKNOT_JOBLOAD_KILL_AT" default:"0s" description:"time after which the pool's owner is stopped without a handover; 0 for never"`
 }
 
@@ -41,6 +44,8 @@
 		{o.Tasks >= 1 && o.Tasks <= 100, "tasks", "1 to 100"},
 		{o.TaskTime >= 0 && o.TaskTime <= time.Minute, "work", "0s to 1m"},
 		{o.FirstPort >= 1024 && o.FirstPort <= 60000, "port", "1024 to 60000"},
+		{o.GangShare >= 0 && o.GangShare <= 1, "gang-share", "0 to 1"},
+		{o.GangWidth >= 2 && o.GangWidth <= 100, "gang-width", "2 to 100"},
 		{o.KillAt >= 0 && o.KillAt <= o.Duration, "kill-at", "0s to the duration"},
 	} {
 		if !rule.valid {
@@ -52,7 +57,7 @@
 
 func main() { os.Exit(run()) }
 
-// run returns the exit code: 0 if all accepted jobs completed and no task ran twice, 1 if not or
+// run returns the exit code: 0 if all accepted jobs ended as they had to and no task ran twice, 1 if not or
 // on failure, 2 on invalid options.
 func run() int {
 	var opts options
@@ -93,7 +98,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	if result.lost > 0 || len(result.duplicateRuns) > 0 {
+	if !result.ok() {
 		return 1
 	}
 	return 0
--- a/standin/deployment/check.go
+++ b/standin/deployment/check.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
+	"time"
 )
 
 // DuplicateRuns returns one message for each duplicate run of a task on any of the workers, sorted:
@@ -30,3 +32,48 @@
 	slices.Sort(violations)
 	return violations
 }
+
+// runsOfJob returns the runs of a job's tasks in the order of their starts.
+func runsOfJob(workers []*Worker, id string) []Run {
+	var out []Run
+	for _, w := range workers {
+		for _, r := range w.Runs() {
+			if strings.HasPrefix(r.Task, id+".") {
+				out = append(out, r)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Run) int { return a.StartedAt.Compare(b.StartedAt) })
+	return out
+}
+
+// FailedRuns returns the number of failed runs of a job that consists of one gang: those in which any member
+// failed.
+func FailedRuns(workers []*Worker, id string) int {
+	failed := map[int]bool{}
+	for _, r := range runsOfJob(workers, id) {
+		if r.EndReason == "failed" {
+			failed[r.Run] = true
+		}
+	}
+	return len(failed)
+}
+
+// LongestWait returns the longest time between two moments during which none of a job's tasks ran.
+func LongestWait(workers []*Worker, id string, from, until time.Time) time.Duration {
+	var longest time.Duration
+	idleSince := from
+	for _, r := range runsOfJob(workers, id) {
+		if r.StartedAt.After(until) {
+			break
+		}
+		longest = max(longest, r.StartedAt.Sub(idleSince))
+		if r.EndedAt.IsZero() {
+			return longest
+		}
+		if r.EndedAt.After(idleSince) {
+			idleSince = r.EndedAt
+		}
+	}
+	return max(longest, until.Sub(idleSince))
+}
--- a/standin/deployment/worker.go
+++ b/standin/deployment/worker.go
@@ -19,13 +19,13 @@
 	Run          int // number of the run within its task
 	StartedAt    time.Time
 	EndedAt      time.Time // zero while it runs
-	EndReason    string    // done, failed, stopped, lapsed (the lease expired) or lost (the worker crashed)
+	EndReason    string    // done, failed, stopped, lapsed (the lease expired), lost (the worker crashed), broken or alone (of a gang)
 	Acknowledged bool      // a poll has acknowledged the end
 }
 
 // Worker simulates a worker. The spec of a task says how it runs: "200" is done after 200 ms,
 // "200 fail" fails after 200 ms, "200 crash" crashes the worker after 200 ms, and "lasts" is
-// long-running: it runs for an hour unless it is stopped before.
+// long-running: it runs for an hour unless it is stopped before. Those of gangs are made by [GangSpec].
 type Worker struct {
 	ID       string
 	Pool     string
@@ -37,6 +37,7 @@
 	ClockLag float64       // fraction by which its clock runs slower than real time; 0.02 is 2%
 	Downtime time.Duration // after which a worker that a task has crashed starts again; 0 means never
 	Store    *Store
+	Gangs    *Gangs // of the deployment; nil if it runs no gangs
 
 	mu              sync.Mutex
 	server          *http.Server
@@ -63,10 +64,17 @@
 	task        string
 	run         int
 	longRunning bool
-	timer       *time.Timer
+	timer       *time.Timer // of runs that end by themselves
 	record      *Run
 }
 
+// stopTimer keeps a run from ending by itself.
+func (e *activeRun) stopTimer() {
+	if e.timer != nil {
+		e.timer.Stop()
+	}
+}
+
 // endedRun is an ended run that polls report until they acknowledge its number.
 type endedRun struct {
 	number int64
@@ -112,8 +120,9 @@
 	}
 	w.crashed = true
 	for _, e := range w.active {
-		e.timer.Stop()
+		e.stopTimer()
 		w.recordEnd(e, "lost")
+		w.leaveGang(e)
 	}
 	w.active = map[string]*activeRun{}
 	close(w.stopHeartbeat)
@@ -226,7 +235,7 @@
 		return
 	}
 	for _, e := range w.active {
-		e.timer.Stop()
+		e.stopTimer()
 		w.endRun(e, "lapsed")
 	}
 }
@@ -248,6 +257,7 @@
 	w.ended = append(w.ended, endedRun{number: w.lastEndNumber, record: e.record, task: e.task, run: e.run, reason: reason})
 	close(w.changed)
 	w.changed = make(chan struct{})
+	w.leaveGang(e)
 }
 
 // requestBody is the body of a poll or an order; each uses some of the fields.
@@ -314,7 +324,7 @@
 	case "/run-stop":
 		w.highestRun[req.Task] = max(w.highestRun[req.Task], req.Run)
 		if e := w.active[req.Task]; e != nil && e.run <= req.Run {
-			e.timer.Stop()
+			e.stopTimer()
 			w.endRun(e, "stopped")
 		}
 	}
@@ -334,6 +344,11 @@
 	if req.Run <= w.highestRun[req.Task] {
 		return http.StatusConflict, "old"
 	}
+	if s, ok := parseGangSpec(req.Spec); ok && w.Gangs != nil {
+		e := w.addRun(req)
+		w.Gangs.join(w, e, s)
+		return http.StatusOK, ""
+	}
 	var durationMs int64
 	var outcome string
 	longRunning := strings.HasPrefix(req.Spec, "lasts")
@@ -342,9 +357,8 @@
 			return http.StatusBadRequest, ""
 		}
 	}
-	record := &Run{Worker: w.ID, Task: req.Task, Run: req.Run, StartedAt: time.Now()}
-	w.runs = append(w.runs, record)
-	e := &activeRun{task: req.Task, run: req.Run, longRunning: longRunning, record: record}
+	e := w.addRun(req)
+	e.longRunning = longRunning
 	endReason := "done"
 	if outcome == "fail" {
 		endReason = "failed"
@@ -365,10 +379,17 @@
 		}
 		w.endRun(e, endReason)
 	})
-	w.active[req.Task] = e
 	return http.StatusOK, ""
 }
 
+// addRun records a run that begins. The caller holds w.mu.
+func (w *Worker) addRun(req *requestBody) *activeRun {
+	e := &activeRun{task: req.Task, run: req.Run, record: &Run{Worker: w.ID, Task: req.Task, Run: req.Run, StartedAt: time.Now()}}
+	w.runs = append(w.runs, e.record)
+	w.active[req.Task] = e
+	return e
+}
+
 // servePoll renews the lease, drops the ended runs that the poll acknowledges, and responds with
 // the runs in progress and the ended ones. If none has ended, it waits up to WaitMs for an end.
 func (w *Worker) servePoll(rw http.ResponseWriter, r *http.Request, req *requestBody) {
