schedule: keep a task without a worker out of the end of its job while its worker restarts

What callers would see: the owner of a pool ends by itself (nil pointer), and so may its successors while the cause is there.

Cause: RestartWorker takes the tasks off the ended incarnation whose runs may be on the successor, and puts them on the successor's record once the others have ended. In between they were still starting or running, without a worker. If the crash made another task of the job the cause, the job failed, and finish stopped all of its tasks.

Change: they are unconfirmed in between, and a run whose job has ended is stopped on the successor.

Test: TestJobIsGivenUpWhileItsTaskMayBeOnSuccessor, which panicked before.

--- a/schedule/restart.go
+++ b/schedule/restart.go
@@ -76,6 +76,7 @@
 	}
 	for _, t := range unproven {
 		p.unassign(t, now)
+		t.setState(unconfirmed, now) // it has no worker until it is kept, and its job may end before
 	}
 	provenUnits := map[*task]bool{}
 	for t := range w.tasks {
@@ -104,14 +105,16 @@
 // makes the call.
 const startCallTime clock.Millis = 1500
 
-// keep assigns a task to the successor of its worker, which may run it. A run whose start got no answer is
-// stopped there, so that it does not begin later.
+// keep assigns a task to the successor of its worker, which may run it. A run whose start got no answer, or whose
+// job has ended, is stopped there, so that it does not begin later.
 func (p *Pool) keep(k keptRun, w *worker, now clock.Millis) {
 	t := k.task
 	p.assign(t, w, k.state, now)
 	t.keptSince, t.formerCrash, t.callEnds = now, k.crash, k.callEnds
 	p.emit(Event{Kind: "run_kept", Task: t.ref(), Run: t.run, Worker: w.ID})
 	switch {
+	case t.step.job.state.Final() && k.state != stopping:
+		p.stop(t, StopFinal, now)
 	case k.state == stopping:
 		t.stopAccepted = false
 		p.stoppingTasks[t] = true
--- a/schedule/restart_test.go
+++ b/schedule/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -235,3 +236,38 @@
 		})
 	}
 }
+
+// Guards against an owner that crashes when a worker restarts under a job that is given up for it, while another
+// task of the job may be on the successor: that one is stopped there.
+func TestJobIsGivenUpWhileItsTaskMayBeOnSuccessor(t *testing.T) {
+	h := newHarness(t, 1)
+	alone := job.Crash{Run: 1, Worker: "a", Incarnation: 1, Age: 10, Alone: true}
+	beside := job.Crash{Run: 2, Worker: "b", Incarnation: 1, Age: 10, Peers: 3}
+	progress := &job.Progress{State: job.Running}
+	progress.AddCrash(job.Position{Index: 0}, alone)
+	progress.AddCrash(job.Position{Index: 0}, beside)
+	progress.AddCrash(job.Position{Index: 1}, beside)
+	progress.AddCrash(job.Position{Index: 1}, job.Crash{Run: 3, Worker: "c", Incarnation: 1, Age: 10, Peers: 2})
+	h.pool.RunBase = 1000
+	h.pool.Add(newJob(1, newStep(2)), testPolicy, progress, 0, 0)
+	must.Len(t, 0, h.planAfter(10))
+	h.commitChanges() // the trial is durable
+	started := h.planAfter(10)
+	must.Len(t, 2, started, must.Sprint("both tasks are in the trial"))
+	first := started[slices.IndexFunc(started, func(o schedule.Order) bool { return o.Task.Index == 0 })]
+	h.pool.Answered(first, schedule.Accepted, h.now)
+	h.now += 5
+	h.pool.Observe("w0", schedule.Report{RequestedAt: h.now, Running: []schedule.RunReport{{Task: first.Task, Run: first.Run}}}, h.now)
+	h.now += 5
+	h.pool.RestartWorker("w0", 2, "it has restarted", h.now)
+	h.commitChanges()
+	must.Eq(t, job.Failed, h.jobState(1))
+	must.Len(t, 1, h.eventsOf("task_given_up"))
+	must.Eq(t, 1, h.pool.Load(h.now).Workers[0].Tasks, must.Sprint("the other task may be on the successor"))
+	stops := h.planAfter(10)
+	must.Len(t, 1, stops)
+	must.Eq(t, schedule.Order{Kind: schedule.Stop, Worker: "w0", Incarnation: 2, Task: job.Ref{Job: jobID(1), Index: 1}, Run: 1001, Reason: schedule.StopFinal}, stops[0])
+	h.reportEnd(stops[0], schedule.EndStopped)
+	must.Eq(t, 0, h.pool.Load(h.now).Workers[0].Tasks)
+	must.True(t, h.pool.Remove(jobID(1)))
+}
