--- a/cmd/jobload/drive.go
+++ b/cmd/jobload/drive.go
@@ -77,7 +77,7 @@
 func (c *cluster) startMember(i int, log *slog.Logger) error {
 	loopback := netip.MustParseAddr("127.0.0.1")
 	port := c.options.FirstPort + uint16(i*portsPerMember)
-	process := hosted.New(hosted.Config{Log: log, Settings: &platform.Settings{
+	process := hosted.New(hosted.Config{Log: log.With("member", i), Settings: &platform.Settings{
 		Member: fleet.MemberID(fmt.Sprintf("member-%d", i)), Zone: "z1", IP: loopback, CallerAddr: netip.AddrPortFrom(loopback, port),
 		ReadyAddr: netip.AddrPortFrom(loopback, port+1), PeerPort: port + 2, MetricsPort: port + 3, MemoryMB: 512,
 		StoreAddr: netip.MustParseAddrPort(strings.TrimPrefix(c.storeServer.URL, "http://")), FinalStateRetention: 600_000,
--- a/cmd/jobload/main.go
+++ b/cmd/jobload/main.go
@@ -25,6 +25,7 @@
 	TaskTime  time.Duration  `long:"work" env:"CITRONKNOT_JOBLOAD_WORK" default:"300ms" description:"run time of each task, up to 1m"`
 	FirstPort uint16         `long:"port" env:"CITRONKNOT_JOBLOAD_PORT" default:"24000" description:"first port of the members, which use 4 ports each, 1024 to 60000"`
 	Profile   flags.Filename `long:"cpu-profile" description:"file for a CPU profile of the whole run"`
+	Log       flags.Filename `long:"log" description:"file for the logs of the members"`
 	GangShare float64        `long:"gang-share" env:"CITRONKNOT_JOBLOAD_GANG_SHARE" default:"0" description:"part of the jobs that are gangs, 0 to 1; some of their runs fail"`
 	GangWidth int            `long:"gang-width" env:"CITRONKNOT_JOBLOAD_GANG_WIDTH" default:"4" description:"largest number of tasks of a gang, 2 to 100"`
 	Seed      uint64         `long:"seed" env:"CITRONKNOT_JOBLOAD_SEED" default:"1" description:"decides which jobs are gangs and how their runs end"`
@@ -85,7 +86,17 @@
 		}
 		defer pprof.StopCPUProfile()
 	}
-	cluster, err := startCluster(&opts, slog.New(slog.DiscardHandler))
+	log := slog.New(slog.DiscardHandler)
+	if opts.Log != "" {
+		f, err := os.Create(string(opts.Log))
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		defer func() { _ = f.Close() }()
+		log = slog.New(slog.NewTextHandler(f, nil))
+	}
+	cluster, err := startCluster(&opts, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
