--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -31,7 +31,7 @@
 	p.searches++
 	needs := t.needs()
 	spec := t.step.spec
-	packed := !spec.BestEffort && !spec.LongRunning && t.unit().suspicion == unsuspected
+	packed := !spec.BestEffort && !spec.LongRunning && t.record().suspicion == unsuspected
 	candidates := p.sortedWorkers
 	if packed {
 		candidates = p.byFreeCPU.withFreeCPU(needs.CPU)
@@ -41,7 +41,7 @@
 			continue
 		}
 		siblings, ok := p.eligible(t, w, now)
-		if !ok || (w.cold.isCold(now) && !w.acceptsCold(t, now)) || p.starterBusy(w) || (t.unit().suspicion == startApart && !p.mayStartApart(t, w, now)) {
+		if !ok || (w.cold.isCold(now) && !w.acceptsCold(t, now)) || p.starterBusy(w) || (t.record().suspicion == startApart && !p.mayStartApart(t, w, now)) {
 			continue
 		}
 		cost := p.cost(t, w, siblings, now)
@@ -82,10 +82,10 @@
 // is long-running or limits it.
 func (p *Pool) cost(t *task, w *worker, siblings int, now clock.Millis) int64 {
 	var c int64
-	if t.unit().failedOn[w] {
+	if t.record().failedOn[w] {
 		c += costFailedBefore
 	}
-	suspected := t.unit().suspicion != unsuspected
+	suspected := t.record().suspicion != unsuspected
 	switch {
 	case !suspected && w.suspects > 0:
 		c += costSuspect
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -101,16 +101,17 @@
 		return
 	}
 	crashes := j.progress.AddCrash(u.position(), l.crash)
-	u.lost = append(u.lost, lostMembers{run: l.crash.Run, members: l.members})
+	r := u.record()
+	r.lost = append(r.lost, lostMembers{run: l.crash.Run, members: l.members})
 	p.markDirty(j)
 	p.updateSuspicion(u)
 	if l.crash.Alone {
 		p.explain(u, now)
 	}
-	if u.suspicion != unsuspected {
+	if r.suspicion != unsuspected {
 		p.emit(Event{
 			Kind: "task_suspected", Task: u.ref(), Run: l.crash.Run, Worker: l.crash.Worker,
-			Detail: fmt.Sprintf("next start %s; crashed workers: %s", u.suspicion, describeCrashes(crashes)),
+			Detail: fmt.Sprintf("next start %s; crashed workers: %s", r.suspicion, describeCrashes(crashes)),
 		})
 	}
 	if slices.ContainsFunc(l.members, func(member int) bool { return blamed(u.crashesUnder(member)) }) {
@@ -127,7 +128,7 @@
 	}
 	return slices.DeleteFunc(slices.Clone(t.crashes()), func(c job.Crash) bool {
 		known := false
-		for _, l := range t.lost {
+		for _, l := range t.record().lost {
 			if l.run != c.Run {
 				continue
 			}
--- a/schedule/doubt.go
+++ b/schedule/doubt.go
@@ -31,7 +31,8 @@
 	p.doubts[w.ID] = &doubt{incarnation: w.Incarnation, machine: w.Machine, since: now, runs: runs}
 	for _, l := range runs {
 		u := l.task.unit()
-		u.doubted = append(u.doubted, l.crash)
+		r := u.record()
+		r.doubted = append(r.doubted, l.crash)
 		p.updateSuspicion(u)
 	}
 }
@@ -40,11 +41,12 @@
 // workers. A run of a gang may be lost with several workers, and with others that have certainly crashed; it
 // counts once.
 func (t *task) doubtWeight() int {
-	if len(t.doubted) == 0 {
+	doubted := t.record().doubted
+	if len(doubted) == 0 {
 		return 0
 	}
 	weights := map[int]int{} // by run
-	for _, c := range t.doubted {
+	for _, c := range doubted {
 		weights[c.Run] = max(weights[c.Run], crashWeight(c))
 	}
 	for _, c := range t.crashes() {
@@ -66,8 +68,9 @@
 	delete(p.doubts, id)
 	for _, l := range d.runs {
 		u := l.task.unit()
-		if i := slices.Index(u.doubted, l.crash); i >= 0 {
-			u.doubted = slices.Delete(u.doubted, i, i+1)
+		r := u.record()
+		if i := slices.Index(r.doubted, l.crash); i >= 0 {
+			r.doubted = slices.Delete(r.doubted, i, i+1)
 		}
 		p.updateSuspicion(u)
 		if crashed {
--- a/schedule/dump.go
+++ b/schedule/dump.go
@@ -141,9 +141,9 @@
 		d.NotBegun += j.countNotBegun()
 	}
 	for _, u := range p.suspects {
-		if u.suspicion != unsuspected && !u.step.job.state.Final() {
+		if u.record().suspicion != unsuspected && !u.step.job.state.Final() {
 			d.Suspects = append(d.Suspects, SuspectDump{
-				Task: u.ref().String(), Start: u.suspicion.String(), State: u.state.String(), Crashes: describeCrashes(u.crashes()),
+				Task: u.ref().String(), Start: u.record().suspicion.String(), State: u.state.String(), Crashes: describeCrashes(u.crashes()),
 			})
 		}
 	}
--- a/schedule/failure.go
+++ b/schedule/failure.go
@@ -28,12 +28,12 @@
 // recordRunFailure records that a run of a task failed on a worker, so that its unit prefers other workers,
 // and counts the failure against the worker.
 func (p *Pool) recordRunFailure(t *task, w *worker, run int, now clock.Millis) {
-	u, j := t.unit(), t.step.job
-	first := len(u.failedOn) == 0
-	if u.failedOn == nil {
-		u.failedOn = map[*worker]bool{}
+	r, j := t.record(), t.step.job
+	first := len(r.failedOn) == 0
+	if r.failedOn == nil {
+		r.failedOn = map[*worker]bool{}
 	}
-	u.failedOn[w] = true
+	r.failedOn[w] = true
 	if !first || (t.step.doneTasks == 0 && j.failuresOn[w] >= maxFailuresOfJob) {
 		return
 	}
--- a/schedule/near.go
+++ b/schedule/near.go
@@ -156,7 +156,7 @@
 func (f *workerForecast) mayTake(t *task) bool {
 	s, w := t.step, f.worker
 	_, advised := s.advice.tickets[w]
-	return !t.unit().failedOn[w] && w.hasLabel(s.spec.Label) && (advised || !s.job.policy.Advised) &&
+	return !t.record().failedOn[w] && w.hasLabel(s.spec.Label) && (advised || !s.job.policy.Advised) &&
 		(s.spec.MaxPerWorker == 0 || s.countOn(w)+f.countTaken(s) < s.spec.MaxPerWorker)
 }
 
@@ -174,7 +174,7 @@
 // awaitsNearPlace decides whether a task that would start far on w waits for a near place instead. It is
 // the only function that keeps a task of a step that is not a gang waiting for its rack.
 func (p *Pool) awaitsNearPlace(t *task, w *worker, contended bool, now clock.Millis) bool {
-	if t.suspicion != unsuspected || !t.wouldBeFar(w) {
+	if t.record().suspicion != unsuspected || !t.wouldBeFar(w) {
 		return false
 	}
 	run := t.step.expectedRunTime(now).time
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -76,33 +76,33 @@
 	}
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state != waiting || t.startsAlone() || (t.suspicion == startApart && p.fullApart.covers(r.needs)) {
+		if t.state != waiting || t.startsAlone() || (t.record().suspicion == startApart && p.fullApart.covers(r.needs)) {
 			continue
 		}
 		if !p.withinAllowance(s, 1) || p.startLimitReached() {
 			return true
 		}
 		w := far
-		if w == nil || len(t.failedOn) > 0 || t.suspicion != unsuspected {
+		if w == nil || len(t.record().failedOn) > 0 || t.record().suspicion != unsuspected {
 			w = p.chooseWorker(t, now)
 		}
 		if w == nil {
 			switch {
-			case t.suspicion == startApart:
+			case t.record().suspicion == startApart:
 				p.fullApart.record(r)
-			case len(t.failedOn) == 0:
+			case len(t.record().failedOn) == 0:
 				return false // the other tasks of the step have the same needs
 			}
 			continue
 		}
 		if mayWait && p.awaitsNearPlace(t, w, contended, now) {
-			if len(t.failedOn) == 0 {
+			if len(t.record().failedOn) == 0 {
 				far = w // nothing was started, so the next task would find the same worker
 			}
 			continue
 		}
 		far = nil
-		if t.suspicion == startApart {
+		if t.record().suspicion == startApart {
 			p.recordApart(t, w, now)
 			continue
 		}
--- a/schedule/relieve.go
+++ b/schedule/relieve.go
@@ -189,7 +189,7 @@
 func (t *task) mayBeRelieved(now clock.Millis) bool {
 	spec := t.step.spec
 	switch {
-	case t.state != running || spec.Gang || t.unit().suspicion != unsuspected || t.isEndingSoon(now) || t.wasJustMoved(now):
+	case t.state != running || spec.Gang || t.record().suspicion != unsuspected || t.isEndingSoon(now) || t.wasJustMoved(now):
 		return false
 	case spec.LongRunning:
 		return t.step.mayLose(t, now)
--- a/schedule/suspicion.go
+++ b/schedule/suspicion.go
@@ -74,6 +74,18 @@
 	return t
 }
 
+// unitRecord is what the pool keeps of a task, or of a gang as a whole. What failures, refusals and crashes say of
+// a gang counts once for all of its tasks.
+type unitRecord struct {
+	failedOn  map[*worker]bool // workers on which a run failed
+	suspicion suspicion
+	lost      []lostMembers // of the crashes that this owner has recorded
+	doubted   []job.Crash   // runs lost with workers that were silent, as they count if these have crashed
+}
+
+// record returns the record of the task's unit.
+func (t *task) record() *unitRecord { return &t.unit().ofUnit }
+
 // tasksOfUnit returns the tasks for which a unit stands.
 func (t *task) tasksOfUnit() []*task {
 	if !t.step.spec.Gang {
@@ -127,11 +139,12 @@
 // updateSuspicion derives the suspicion against a unit from its crashes, and adds the unit to the
 // suspects if need be.
 func (p *Pool) updateSuspicion(u *task) {
-	u.suspicion = suspicionOf(u.crashes(), p.unexplained(u), u.doubtWeight())
-	if u.suspicion == startApart && u.step.spec.Gang {
-		u.suspicion = startAlone // its tasks need several workers anyway
+	r := u.record()
+	r.suspicion = suspicionOf(u.crashes(), p.unexplained(u), u.doubtWeight())
+	if r.suspicion == startApart && u.step.spec.Gang {
+		r.suspicion = startAlone // its tasks need several workers anyway
 	}
-	if u.suspicion != unsuspected && !slices.Contains(p.suspects, u) {
+	if r.suspicion != unsuspected && !slices.Contains(p.suspects, u) {
 		p.suspects = append(p.suspects, u)
 	}
 }
@@ -206,7 +219,7 @@
 		return
 	}
 	u.step.job.progress.ForgetCrashes(u.position())
-	u.lost = nil
+	u.record().lost = nil
 	p.markDirty(u.step.job)
 	p.emit(Event{Kind: "task_cleared", Task: u.ref(), Run: u.run, Worker: u.worker.ID, Detail: fmt.Sprintf("its run has gone on for %d ms", now-u.stateSince)})
 	p.updateSuspicion(u)
--- a/schedule/task.go
+++ b/schedule/task.go
@@ -70,11 +70,7 @@
 	// callEnds is when the call that ordered such a run has certainly ended. Until then each successor of
 	// the worker may carry it out.
 	callEnds clock.Millis
-	// Of a task, or of the first task of a gang:
-	failedOn  map[*worker]bool // workers on which a run failed
-	suspicion suspicion
-	lost      []lostMembers // of the crashes that this owner has recorded
-	doubted   []job.Crash   // runs lost with workers that were silent, as they count if these have crashed
+	ofUnit   unitRecord // set in units only; see record
 }
 
 // ref returns the task's reference for orders and reports.
--- a/schedule/trial.go
+++ b/schedule/trial.go
@@ -52,7 +52,7 @@
 	p.trials = slices.DeleteFunc(p.trials, func(tr *trial) bool { return p.advanceTrial(tr, now) })
 	p.suspects = slices.DeleteFunc(p.suspects, func(u *task) bool {
 		p.forgetCrashes(u, now)
-		return u.suspicion == unsuspected || u.state == done || u.step.job.state.Final()
+		return u.record().suspicion == unsuspected || u.state == done || u.step.job.state.Final()
 	})
 	p.updateTrialsDue()
 	counts := p.countWorkers(now)
--- a/schedule/trial_queue.go
+++ b/schedule/trial_queue.go
@@ -15,7 +15,7 @@
 		u.step.job.trialDue = false
 	}
 	for _, u := range p.suspects {
-		u.step.job.trialDue = u.step.job.trialDue || u.suspicion == startAlone
+		u.step.job.trialDue = u.step.job.trialDue || u.record().suspicion == startAlone
 	}
 }
 
@@ -28,7 +28,7 @@
 func (p *Pool) trialCandidates(now clock.Millis) []*task {
 	var out []*task
 	for _, u := range p.suspects {
-		if u.suspicion == startAlone && u.needsTrial() {
+		if u.record().suspicion == startAlone && u.needsTrial() {
 			out = append(out, u)
 		}
 	}
@@ -66,7 +66,7 @@
 // of a task of its job.
 func (t *task) startsAlone() bool {
 	u := t.unit()
-	return u.suspicion == startAlone || (u.suspicion == startApart && t.step.job.trialDue)
+	return u.record().suspicion == startAlone || (u.record().suspicion == startApart && t.step.job.trialDue)
 }
 
 // needsTrial reports whether a unit is to start in a trial and may start: the task, or all tasks of
--- a/schedule/worker.go
+++ b/schedule/worker.go
@@ -123,7 +123,7 @@
 // reserve records that the task occupies the worker.
 func (w *worker) reserve(t *task) {
 	w.tasks[t] = true
-	if t.unit().suspicion != unsuspected {
+	if t.record().suspicion != unsuspected {
 		t.placedSuspect = true
 		w.suspects++
 	}
