quota: keep sums of all pools, and wait for all pools when a limit is added

Found on the way: a limit that is added while pools run tasks of its team was granted whole to the first pool that reported, because the others' use was not known yet. Nothing grows until each pool has reported on the team, for 13 s at most.

--- a/quota/divide.go
+++ b/quota/divide.go
@@ -17,7 +17,8 @@
 func (c *claim) waits() bool { return c.smallest != job.Resources{} }
 
 // surplusShare returns the share of one of the pools in a limit that covers all demands, whose sum is total: its
-// demand and an even part of the rest.
+// demand and an even part of the rest. In a dimension that the limit does not cover, a pool without demand gets
+// nothing or less.
 func surplusShare(limit, demand, total job.Resources, pools int64) job.Resources {
 	rest := limit.Sub(total)
 	return demand.Add(job.Resources{CPU: rest.CPU / pools, Memory: rest.Memory / pools, GPU: rest.GPU / pools})
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -31,9 +31,9 @@
 // Ledger records how much of each team's limit each pool may use, and is the only type that
 // divides limits. Create one by [New]. A Ledger is not safe for concurrent use.
 type Ledger struct {
-	teams   map[fleet.TeamID]*teamAccount // those with a limit
-	pools   []*poolAccount
-	started clock.Millis // when the fleet leader began; see New
+	teams  map[fleet.TeamID]*teamAccount // those with a limit
+	pools  []*poolAccount
+	latest clock.Millis // when the latest report came, or the fleet leader began
 }
 
 // poolAccount is the record of one pool.
@@ -41,26 +41,33 @@
 	id               fleet.PoolID
 	fence            uint64       // of the owner that reported last
 	reported         bool         // an owner has reported since the ledger was created
-	formerOwnerUntil clock.Millis // when what the former owner may have been using stops counting
+	formerOwnerUntil clock.Millis // when what the former owner may have been using stops counting; 0 if nothing does
 }
 
 // teamAccount is the record of one team.
 type teamAccount struct {
-	limit job.Resources
-	uses  []poolUse // by index of the pool
+	limit   job.Resources
+	uses    []poolUse    // by index of the pool
+	addedAt clock.Millis // when the team was added, or shortly before
+	// Sums of all pools, so that a report takes no pass over them:
+	known       int64 // number of pools that have reported
+	demand      job.Resources
+	outstanding job.Resources
 }
 
 // poolUse is what a pool uses of a team's limit.
 type poolUse struct {
 	Usage                     // as last reported
+	known       bool          // an owner has reported since the team was added
 	granted     job.Resources // allowance in the latest response
 	formerOwner job.Resources // what the former owner may have been using
+	outstanding job.Resources // the maximum that the pool may be using, as it counts in the sum of the team
 	coveredAt   clock.Millis  // when an allowance was last granted that let a waiting task or gang start
 }
 
 // New returns a ledger for a fleet leader that begins at now.
 func New(now clock.Millis) *Ledger {
-	return &Ledger{teams: map[fleet.TeamID]*teamAccount{}, started: now}
+	return &Ledger{teams: map[fleet.TeamID]*teamAccount{}, latest: now}
 }
 
 // Limit returns configured with [Unlimited] in each dimension that is 0, and reports whether
@@ -101,7 +108,7 @@
 		}
 		t := former[id]
 		if t == nil {
-			t = &teamAccount{uses: make([]poolUse, len(l.pools))}
+			t = &teamAccount{uses: make([]poolUse, len(l.pools)), addedAt: l.latest}
 		}
 		t.limit = limit
 		l.teams[id] = t
@@ -129,24 +136,22 @@
 	if a.reported && fence < a.fence {
 		return nil // the owner was replaced
 	}
+	l.latest = max(l.latest, now)
+	l.forgetFormerOwners(now)
 	if a.reported && fence > a.fence {
-		for _, t := range l.teams {
-			u := &t.uses[own]
-			u.formerOwner, u.granted = u.outstanding(now < a.formerOwnerUntil), job.Resources{}
-		}
-		a.formerOwnerUntil = now + unresponsiveTimeout
+		l.replaceOwner(own, now)
 	}
 	a.reported, a.fence = true, fence
-	growing := l.allReported(now)
 	out := make(map[fleet.TeamID]job.Resources, len(l.teams))
 	for id, t := range l.teams {
+		t.setUsage(own, teams[id])
 		u := &t.uses[own]
-		u.Usage = teams[id]
 		granted := u.Allowance
-		if growing {
-			granted = l.grant(t, own, now)
+		if l.mayGrow(t, now) {
+			granted = t.grant(own)
 		}
 		u.granted = granted
+		t.recount(own)
 		if u.Used.Add(u.Smallest).Fits(granted) {
 			u.coveredAt = now
 		}
@@ -155,61 +160,81 @@
 	return out
 }
 
-// allReported reports whether the use of each pool is known. That of a pool which has not reported since the
-// ledger was created is not, for up to unresponsiveTimeout.
-func (l *Ledger) allReported(now clock.Millis) bool {
-	return now-l.started >= unresponsiveTimeout || !slices.ContainsFunc(l.pools, func(a *poolAccount) bool { return !a.reported })
+// mayGrow reports whether allowances of a team may grow. What it uses in a pool that has not reported since the
+// fleet leader began, or the team was added, is unknown for up to unresponsiveTimeout.
+func (l *Ledger) mayGrow(t *teamAccount, now clock.Millis) bool {
+	return t.known == int64(len(l.pools)) || now-t.addedAt >= unresponsiveTimeout
 }
 
-// outstanding returns the maximum that a pool may be using of a team's limit.
-func (u *poolUse) outstanding(former bool) job.Resources {
-	most := u.Used.Max(u.Allowance).Max(u.granted)
-	if former {
-		most = most.Max(u.formerOwner)
+// replaceOwner records that a pool has another owner. The tasks of the former one may still run.
+func (l *Ledger) replaceOwner(pool int, now clock.Millis) {
+	l.pools[pool].formerOwnerUntil = now + unresponsiveTimeout
+	for _, t := range l.teams {
+		u := &t.uses[pool]
+		u.formerOwner, u.granted = u.outstanding, job.Resources{}
 	}
-	return most
 }
 
-// grant returns a pool's allowance for one team: its share of the limit, but never more than what the other
-// pools leave.
-func (l *Ledger) grant(t *teamAccount, own int, now clock.Millis) job.Resources {
-	left := t.limit
-	var demand job.Resources
-	pools := int64(0)
+// forgetFormerOwners ends the time for which tasks of former owners count.
+func (l *Ledger) forgetFormerOwners(now clock.Millis) {
 	for i, a := range l.pools {
-		if !a.reported {
+		if a.formerOwnerUntil == 0 || now < a.formerOwnerUntil {
 			continue
 		}
-		u := &t.uses[i]
-		pools++
-		demand = demand.Add(u.Demand)
-		if i != own {
-			left = left.Sub(u.outstanding(now < a.formerOwnerUntil))
+		a.formerOwnerUntil = 0
+		for _, t := range l.teams {
+			t.uses[i].formerOwner = job.Resources{}
+			t.recount(i)
 		}
 	}
-	var share job.Resources
-	if demand.Fits(t.limit) {
-		share = surplusShare(t.limit, t.uses[own].Demand, demand, pools)
-	} else {
-		share = l.contendedShare(t, own)
+}
+
+// setUsage replaces what a pool has reported.
+func (t *teamAccount) setUsage(pool int, usage Usage) {
+	u := &t.uses[pool]
+	if !u.known {
+		u.known = true
+		t.known++
+	}
+	t.demand = t.demand.Add(usage.Demand.Sub(u.Demand))
+	u.Usage = usage
+	t.recount(pool)
+}
+
+// recount updates the maximum that a pool may be using.
+func (t *teamAccount) recount(pool int) {
+	u := &t.uses[pool]
+	most := u.Used.Max(u.Allowance).Max(u.granted).Max(u.formerOwner)
+	t.outstanding = t.outstanding.Add(most.Sub(u.outstanding))
+	u.outstanding = most
+}
+
+// grant returns a pool's allowance for one team: its share of the limit, but never more than what the other
+// pools leave.
+func (t *teamAccount) grant(own int) job.Resources {
+	demand := t.uses[own].Demand
+	share := surplusShare(t.limit, demand, t.demand, t.known)
+	if demand != (job.Resources{}) && !t.demand.Fits(t.limit) {
+		share = t.contendedShare(own)
 	}
-	granted := share.Min(left).Max(job.Resources{})
+	others := t.outstanding.Sub(t.uses[own].outstanding)
+	granted := share.Min(t.limit.Sub(others)).Max(job.Resources{})
 	setUnlimited(t.limit, &granted)
 	return granted
 }
 
 // contendedShare returns a pool's share of a limit that does not cover all demands. The pools that have
 // waited longest since they could start something have their turn first.
-func (l *Ledger) contendedShare(t *teamAccount, own int) job.Resources {
-	claims := make([]claim, 0, len(l.pools))
-	pools := make([]int, 0, len(l.pools)) // by index of the claim
+func (t *teamAccount) contendedShare(own int) job.Resources {
+	claims := make([]claim, 0, len(t.uses))
+	pools := make([]int, 0, len(t.uses)) // by index of the claim
 	ownClaim := 0
-	for i := range l.pools {
+	for i := range t.uses {
 		u := &t.uses[i]
 		if i == own {
 			ownClaim = len(claims)
 		}
-		if i == own || u.Demand != (job.Resources{}) { // pools that never reported have no demand
+		if i == own || u.Demand != (job.Resources{}) {
 			pools = append(pools, i)
 			claims = append(claims, claim{used: u.Used, demand: u.Demand, smallest: u.Smallest, largest: u.Largest})
 		}
--- a/quota/starvation_test.go
+++ b/quota/starvation_test.go
@@ -175,6 +175,42 @@
 	must.Eq(t, map[fleet.PoolID]int64{"a": 950, "b": 47_025, "c": 47_025, "d": 5000}, have)
 }
 
+// Guards against a limit that is exceeded as it is added: pools already run tasks of the team, and the first one that
+// reports got all of the limit, because nothing was known of the others.
+func TestAddedLimitWaitsForAllPools(t *testing.T) {
+	l := quota.New(0)
+	ids := []fleet.PoolID{"a", "b"}
+	l.Configure(ids, nil)
+	for _, id := range ids {
+		l.Report(id, 1, nil, 20_000)
+	}
+	l.Configure(ids, map[fleet.TeamID]job.Resources{team: cores(100)})
+	report := func(id fleet.PoolID, used, demand int64) int64 {
+		u := quota.Usage{Used: cores(used), Demand: cores(demand)}
+		return l.Report(id, 1, map[fleet.TeamID]quota.Usage{team: u}, 20_100)[team].CPU
+	}
+	must.Eq(t, 0, report("a", 0, 100), must.Sprint("b may be using all of it"))
+	report("b", 80, 80)
+	must.Eq(t, 20, report("a", 0, 100), must.Sprint("what b leaves"))
+}
+
+// Guards against what a former owner may have used counting for longer than its tasks can last, and for a pool of
+// which no report comes any more.
+func TestFormerOwnerIsForgotten(t *testing.T) {
+	l := quota.New(0)
+	l.Configure([]fleet.PoolID{"a", "b"}, map[fleet.TeamID]job.Resources{team: cores(100)})
+	report := func(id fleet.PoolID, fence uint64, used, demand int64, now clock.Millis) int64 {
+		u := quota.Usage{Used: cores(used), Demand: cores(demand)}
+		return l.Report(id, fence, map[fleet.TeamID]quota.Usage{team: u}, now)[team].CPU
+	}
+	report("a", 1, 0, 100, 0)
+	report("b", 1, 0, 0, 0)
+	must.Eq(t, 100, report("a", 1, 0, 100, 10))
+	must.Eq(t, 50, report("a", 2, 0, 0, 20), must.Sprint("the new owner wants nothing, and nobody else does"))
+	must.Eq(t, 0, report("b", 1, 0, 100, 30), must.Sprint("tasks of the former owner may still run"))
+	must.Eq(t, 50, report("b", 1, 0, 100, 13_020))
+}
+
 // BenchmarkLedgerReport measures one report of a pool at the target size: 82 pools and 150 teams with a
 // limit, some of which have waiting work in a few pools and some of which want more than their limit.
 func BenchmarkLedgerReport(b *testing.B) {
--- a/schedule/waiting_test.go
+++ b/schedule/waiting_test.go
@@ -1,6 +1,7 @@
 package schedule_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -70,3 +71,22 @@
 	must.StrContains(t, h.pool.Job(jobID(1)).Cause(), "in its runs [1 2]")
 	must.StrContains(t, h.eventsOf("job_failed")[0].Detail, "in its runs [1 2]")
 }
+
+// BenchmarkWaits measures one count of what waits in a pool, which the owner takes twice a second.
+func BenchmarkWaits(b *testing.B) {
+	for _, jobs := range []int{100, 10_000} {
+		b.Run(fmt.Sprintf("jobs=%d", jobs), func(b *testing.B) {
+			p := schedule.New(schedule.Config{Pool: "p", Limited: func(fleet.TeamID) bool { return true }})
+			p.FinishRecovery(0)
+			for n := range jobs {
+				j := newJob(n+1, newStep(8))
+				j.Team = fleet.TeamID(fmt.Sprintf("t%d", n%20))
+				p.Add(j, testPolicy, nil, 0, 0)
+			}
+			p.Plan(0, 0)
+			for b.Loop() {
+				p.Waits(1000)
+			}
+		})
+	}
+}
