--- a/owner/activity.go
+++ b/owner/activity.go
@@ -1,9 +1,11 @@
 package owner
 
 import (
+	"log/slog"
 	"time"
 
 	"citronknot/clock"
+	"citronknot/job"
 	"citronknot/schedule"
 )
 
@@ -62,6 +64,11 @@
 			continue
 		}
 		o.Log.Info("owner: team waits for its allowance", "pool", o.Pool, "fence", o.Lease.Fence(), "team", w.Team, "tasks", w.Tasks,
-			"waited_ms", int64(w.Longest), "needs", w.Needs, "used", w.Used, "allowance", w.Allowance)
+			"waited_ms", int64(w.Longest), resourceGroup("needs", w.Needs), resourceGroup("used", w.Used), resourceGroup("allowance", w.Allowance))
 	}
 }
+
+// resourceGroup returns the attribute of a log line for resources.
+func resourceGroup(name string, r job.Resources) slog.Attr {
+	return slog.Group(name, "cpu", r.CPU, "memory_mb", r.Memory, "gpu", r.GPU)
+}
--- a/schedule/failure.go
+++ b/schedule/failure.go
@@ -20,9 +20,9 @@
 	// the step is done. It is below avoidFailures, so that one job that always fails does not make
 	// workers unavailable.
 	maxFailuresOfJob = 2
-	// maxAvoidedPart is the inverse of the part of the usable workers that may be avoided at once. If more
+	// maxAvoidedPercent is the part of the pool's usable workers that may be avoided at once. If more
 	// of them fail what they start, that is hardly their fault.
-	maxAvoidedPart = 2
+	maxAvoidedPercent = 50
 )
 
 // recordRunFailure records that a run of a task failed on a worker, so that its unit prefers other workers,
@@ -92,7 +92,7 @@
 			usable++
 		}
 	}
-	return avoided+1 <= (avoided+usable)/maxAvoidedPart
+	return (avoided+1)*100 <= (avoided+usable)*maxAvoidedPercent
 }
 
 // recordSuccess halves the count of recent failures.
