quota: keep for a gang what its pool's fair share lacks

What callers saw, in TestGangStartsBesideBacklogInAnotherPool over the whole path: a gang of 6 cores waits on idle workers for as long as its team has a backlog in another pool that uses the whole limit of 20 cores, now that shares are max-min, too.

Cause: the turns. Of the 6 cores that become free as tasks of the backlog end, the backlog's pool got one at its turn, though it had more than its share of 14; the remaining 5 don't cover the gang.

Change: pools that can start something within their fair share come first, in turn, and what these still lack is kept from the others. A pool beyond its share gets what is left.

--- a/hosted/harness_test.go
+++ b/hosted/harness_test.go
@@ -36,8 +36,9 @@
 	serviceAddresses [2]netip.AddrPort // of the machine service and of the adviser
 	members          []*member
 	workers          []*deployment.Worker
-	minHolderChange  clock.Millis // setting of the members that are started from now on
-	evacuationTime   clock.Millis // in the settings of members that are started from now on
+	minHolderChange  clock.Millis   // setting of the members that are started from now on
+	evacuationTime   clock.Millis   // in the settings of members that are started from now on
+	teamLimit        map[string]any // cap of the team alpha in configurations that are written from now on; nil for none
 }
 
 // member is one process. Its calls to the store go through a proxy of its own, which can stop
@@ -113,7 +114,8 @@
 		"name": "advised", "host": "sorting.example", "pathPrefix": "/advised/", "backend": "sorting", "attempts": 3,
 		"advice": map[string]any{"decideMs": 5, "eachMs": 1, "validMs": 2000},
 	}
-	sortRoute = route{"name": "sort", "host": "sorting.example", "pathPrefix": "/sort/", "backend": "sorting", "attempts": 3, "stretch": 1.6, "sloMs": 600}
+	backlogRoute = route{"name": "backlog", "host": "sorting.example", "pathPrefix": "/backlog/", "backend": "other", "attempts": 3, "stretch": 1.6, "sloMs": 600}
+	sortRoute    = route{"name": "sort", "host": "sorting.example", "pathPrefix": "/sort/", "backend": "sorting", "attempts": 3, "stretch": 1.6, "sloMs": 600}
 )
 
 // configure writes the configuration with the given version to the store.
@@ -127,9 +129,13 @@
 			pools = append(pools, map[string]any{"name": r["backend"], "admissionCheck": true})
 		}
 	}
+	team := map[string]any{"name": "alpha", "apiKeys": []string{callerKey}, "weight": 1}
+	if c.teamLimit != nil {
+		team["cap"] = c.teamLimit
+	}
 	c.store.Put("op", "", "config", map[string]any{
 		"version": version, "routes": routes, "backends": pools,
-		"tenants": []map[string]any{{"name": "alpha", "apiKeys": []string{callerKey}, "weight": 1}},
+		"tenants": []map[string]any{team},
 		"limits":  map[string]any{"maxBodyBytes": 100000},
 	})
 }
@@ -227,9 +233,9 @@
 	return response.StatusCode, fields
 }
 
-// queuePath returns the path of a job. An id that starts with "advised/" is in the advised queue.
+// queuePath returns the path of a job. An id that starts with "advised/" or "backlog/" is in that queue.
 func queuePath(id string) string {
-	if strings.HasPrefix(id, "advised/") {
+	if strings.Contains(id, "/") {
 		return "/" + id
 	}
 	return "/sort/" + id
--- a/quota/divide.go
+++ b/quota/divide.go
@@ -32,39 +32,72 @@
 // waits there, or else the smallest one. turns holds the indexes of the pools in the order in which they
 // are considered for that.
 func divide(limit job.Resources, claims []claim, turns []int) []job.Resources {
-	least := guaranteed(limit, claims, turns)
-	out := make([]job.Resources, len(claims))
-	divideDimension(claims, turns, limit.CPU, least, out, func(r *job.Resources) *int64 { return &r.CPU })
-	divideDimension(claims, turns, limit.Memory, least, out, func(r *job.Resources) *int64 { return &r.Memory })
-	divideDimension(claims, turns, limit.GPU, least, out, func(r *job.Resources) *int64 { return &r.GPU })
-	return out
+	fair := divideAbove(limit, claims, turns, make([]job.Resources, len(claims)))
+	return divideAbove(limit, claims, turns, guaranteed(limit, claims, turns, fair))
 }
 
 // guaranteed returns the share that each pool gets at least, so that it can start a task or gang. Their
-// sum, with what the other pools use, is within the limit.
-func guaranteed(limit job.Resources, claims []claim, turns []int) []job.Resources {
+// sum, with what the other pools use, is within the limit. Pools that can do so within their fair share come
+// first, and what these still lack is kept for them: a pool that has more than its share would otherwise use up,
+// task by task, what a gang elsewhere needs at once.
+func guaranteed(limit job.Resources, claims []claim, turns []int, fair []job.Resources) []job.Resources {
 	unused := limit
 	for i := range claims {
 		unused = unused.Sub(claims[i].used)
 	}
 	least := make([]job.Resources, len(claims))
+	var kept job.Resources
+	var beyond []int // pools that wait for more than their fair share covers
 	for _, i := range turns {
 		c := &claims[i]
 		if !c.waits() {
 			continue
 		}
-		unit := c.largest
-		if !unit.Fits(unused) {
-			unit = c.smallest
+		unit := c.unitWithin(fair[i].Sub(c.used))
+		if unit != c.largest {
+			beyond = append(beyond, i)
 		}
-		if unit.Fits(unused) {
-			least[i] = c.used.Add(unit)
-			unused = unused.Sub(unit)
+		switch {
+		case unit == job.Resources{}:
+		case unit.Fits(unused):
+			least[i], unused = c.used.Add(unit), unused.Sub(unit)
+		default:
+			kept = kept.Add(unit)
+		}
+	}
+	unused = unused.Sub(kept)
+	for _, i := range beyond {
+		c := &claims[i]
+		share := c.used.Max(least[i])
+		unit := c.unitWithin(unused.Add(share.Sub(c.used)))
+		if more := c.used.Add(unit).Sub(share); unit != (job.Resources{}) && more.Fits(unused) {
+			least[i], unused = c.used.Add(unit), unused.Sub(more)
 		}
 	}
 	return least
 }
 
+// unitWithin returns what covers each task or gang that waits in the pool if that is within room, or else
+// what the smallest needs if that is, or else nothing.
+func (c *claim) unitWithin(room job.Resources) job.Resources {
+	switch {
+	case c.largest.Fits(room):
+		return c.largest
+	case c.smallest.Fits(room):
+		return c.smallest
+	}
+	return job.Resources{}
+}
+
+// divideAbove divides a limit max-min, with at least the given shares for the pools.
+func divideAbove(limit job.Resources, claims []claim, turns []int, least []job.Resources) []job.Resources {
+	out := make([]job.Resources, len(claims))
+	divideDimension(claims, turns, limit.CPU, least, out, func(r *job.Resources) *int64 { return &r.CPU })
+	divideDimension(claims, turns, limit.Memory, least, out, func(r *job.Resources) *int64 { return &r.Memory })
+	divideDimension(claims, turns, limit.GPU, least, out, func(r *job.Resources) *int64 { return &r.GPU })
+	return out
+}
+
 // divideDimension sets one dimension of the shares in out.
 func divideDimension(claims []claim, turns []int, limit int64, least, out []job.Resources, dimension func(*job.Resources) *int64) {
 	var total int64
--- a/quota/starvation_test.go
+++ b/quota/starvation_test.go
@@ -18,6 +18,8 @@
 	id        fleet.PoolID
 	unit      int64 // millicores of one task or gang
 	waiting   int   // tasks or gangs
+	arriving  int   // tasks or gangs that wait from arriveAt on
+	arriveAt  clock.Millis
 	room      int64 // millicores of the workers
 	runTime   clock.Millis
 	allowance int64
@@ -42,6 +44,9 @@
 
 // advance ends what is over and starts what the allowance and the workers permit.
 func (p *waitingPool) advance(now clock.Millis) {
+	if p.arriving > 0 && now >= p.arriveAt {
+		p.waiting, p.arriving = p.waiting+p.arriving, 0
+	}
 	for len(p.ends) > 0 && p.ends[0] <= now {
 		p.ends = p.ends[1:]
 	}
@@ -130,6 +135,21 @@
 	must.GreaterEq(t, 10_000+50_000, largest)
 }
 
+// Guards against a gang that waits for good behind a backlog that uses the whole limit: as tasks of the backlog end,
+// others of it started again with what was to become the gang's share, which the gang has to have at once.
+func TestGangWithinItsShareStartsBesideFullLimit(t *testing.T) {
+	const limit, runTime = 20_000, 3000
+	for _, spread := range []clock.Millis{0, 150} { // between the ends of the backlog's tasks
+		backlog := &waitingPool{id: "backlog", unit: 1000, waiting: 500, room: limit, runTime: runTime}
+		for i := range clock.Millis(20) {
+			backlog.ends = append(backlog.ends, runTime+i*spread)
+		}
+		gang := &waitingPool{id: "gang", unit: 6000, arriving: 1, arriveAt: 2000, room: limit, runTime: 1000}
+		simulate(t, limit, []*waitingPool{backlog, gang}, 2000+2*runTime)
+		must.Eq(t, 1, gang.started, must.Sprintf("ends %d ms apart", spread))
+	}
+}
+
 // Guards against a pool that starts nothing for long because the others' gangs take the whole limit: gangs of
 // which only one fits into the limit at a time run in turn.
 func TestGangsThatFillLimitRunInTurn(t *testing.T) {
