hosted: wait for ended tasks of the backlog in place of a second

TestGangStartsBesideBacklogInAnotherPool slept for a second until the fleet leader knew of the backlog. It waits until tasks of the backlog have ended, which takes several reports, and has twice as many of them. As strict: the gang has 5 s to be done, as before.

--- a/hosted/limits_test.go
+++ b/hosted/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,12 +22,12 @@
 	c.configureRoutes(2, sortRoute, backlogRoute)
 	m := c.otherMember()
 	backlog := "backlog/" + jobID(1)
-	c.submit(m, backlog, `{"spec":"3000","steps":[{"count":200,"cpu":1000,"memMb":10,"estMs":3000}]}`)
-	c.waitFor(10*time.Second, "the backlog is being worked on", func() bool {
-		status, out := c.call(m, http.MethodGet, backlog, "")
-		return status == http.StatusOK && out["state"] == "running"
+	c.submit(m, backlog, `{"spec":"3000","steps":[{"count":400,"cpu":1000,"memMb":10,"estMs":3000}]}`)
+	c.waitFor(15*time.Second, "tasks of the backlog have ended, so that the fleet leader knows of it", func() bool {
+		return slices.ContainsFunc(c.workers, func(w *deployment.Worker) bool {
+			return slices.ContainsFunc(w.Runs(), func(r deployment.Run) bool { return r.EndReason == "done" })
+		})
 	})
-	time.Sleep(time.Second) // until the fleet leader knows of the backlog
 	c.submit(m, jobID(2), `{"spec":"100","steps":[{"count":12,"cpu":500,"memMb":10,"estMs":100,"gang":true}]}`)
 	c.waitComplete(m, jobID(2), 5*time.Second)
 	status, _ := c.call(m, http.MethodDelete, backlog, "")
