schedule: tell in the state of a worker that it is avoided

Metric, log and activity line told how many workers are avoided and when one begins to be, the state of a pool not which ones are. No decision reads it.

--- a/schedule/dump.go
+++ b/schedule/dump.go
@@ -131,6 +131,7 @@
 	CPUOf     int64            `json:"cpu_capacity"`
 	MemoryMB  int64            `json:"memory_mb_used"`
 	Over      bool             `json:"over_capacity"`
+	Avoided   bool             `json:"avoided"` // gets no starts after repeated failures
 }
 
 // Dump returns a snapshot of the state of the pool at now.
@@ -166,6 +167,7 @@
 			ID: w.ID, Zone: w.Zone, Answered: w.responded, Reachable: w.reachable, Draining: w.Draining, Cordoned: w.cordoned, Listed: !w.unlisted,
 			Evacuated: w.evacuated, ColdUntil: w.cold.until,
 			Tasks: len(w.tasks), CPU: w.used.CPU, CPUOf: w.Capacity.CPU, MemoryMB: w.used.Memory, Over: w.isOverCapacity(),
+			Avoided: now < w.avoidUntil,
 		})
 	}
 	return d
--- a/schedule/failure_test.go
+++ b/schedule/failure_test.go
@@ -51,6 +51,7 @@
 		}
 		must.Len(t, 1, h.eventsOf("worker_avoided"))
 		must.Len(t, 0, h.acceptStarts(10))
+		must.True(t, h.pool.Dump(h.now).Workers[0].Avoided)
 	})
 	t.Run("two jobs, several tasks", func(t *testing.T) {
 		h := newHarness(t, 1)
