quota: test owners of an earlier version beside new ones

Their reports lack what has to start as a whole. In a simulation of a minute, with a limit of 20 cores and a report each 120 ms, an owner of either kind has at least half of what its fair share runs, waits no longer than three run times, and the limit holds.

--- a/quota/starvation_test.go
+++ b/quota/starvation_test.go
@@ -21,6 +21,7 @@
 	arriving  int   // tasks or gangs that wait from arriveAt on
 	arriveAt  clock.Millis
 	room      int64 // millicores of the workers
+	earlier   bool  // the owner is of an earlier version, which does not report what has to start as a whole
 	runTime   clock.Millis
 	allowance int64
 	ends      []clock.Millis // of what runs
@@ -34,7 +35,7 @@
 // usage returns the report of the pool.
 func (p *waitingPool) usage() quota.Usage {
 	u := quota.Usage{Used: cores(p.used()), Demand: cores(p.used() + int64(p.waiting)*p.unit), Allowance: cores(p.allowance)}
-	if p.waiting > 0 {
+	if p.waiting > 0 && !p.earlier {
 		u.Smallest, u.Largest = cores(p.unit), cores(p.unit)
 	}
 	return u
@@ -195,6 +196,20 @@
 	must.Eq(t, map[fleet.PoolID]int64{"a": 950, "b": 47_025, "c": 47_025, "d": 5000}, have)
 }
 
+// Guards against pools of owners of an earlier version that are starved, or starve others, while members are
+// replaced one by one: with the guarantee or without it, a pool gets its fair share.
+func TestOwnersOfEarlierVersionKeepTheirShare(t *testing.T) {
+	const limit, runTime = 20_000, 500
+	former := &waitingPool{id: "earlier", unit: 1000, waiting: 5000, room: limit, runTime: runTime, earlier: true}
+	current := &waitingPool{id: "newer", unit: 6000, waiting: 5000, room: limit, runTime: runTime}
+	simulate(t, limit, []*waitingPool{former, current}, 60_000)
+	// Half of what the fair share of 10 cores runs: ten tasks, or one gang, at a time.
+	must.GreaterEq(t, 10*60_000/runTime/2, former.started)
+	must.GreaterEq(t, 60_000/runTime/2, current.started)
+	must.LessEq(t, 3*runTime, former.longest)
+	must.LessEq(t, 3*runTime, current.longest)
+}
+
 // Guards against a limit that is exceeded as it is added: pools already run tasks of the team, and the first one that
 // reports got all of the limit, because nothing was known of the others.
 func TestAddedLimitWaitsForAllPools(t *testing.T) {
