--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -205,7 +205,7 @@
 func gangTooWide(w *world, trouble bool) []string {
 	w.store.put("op", "config", config(1, []map[string]any{route("a", "pa")}, []string{"pa"}, twoTenants))
 	w.addWorkers("pa", 12, 64000)
-	w.addMembers([]string{"z1", "z1", "z2", "z2", "z3"}, "")
+	w.addMembers([]string{"z1", "z1", "z2", "z2", "z3"})
 	w.runAll()
 	w.awaitOwners("pa", "~fleet")
 	time.Sleep(2 * time.Second)
@@ -232,7 +232,7 @@
 func manyTasks(w *world, trouble bool) []string {
 	w.store.put("op", "config", config(1, []map[string]any{route("a", "pa")}, []string{"pa"}, twoTenants))
 	w.addWorkers("pa", 12, 64000)
-	w.addMembers([]string{"z1", "z1", "z2", "z2", "z3"}, "")
+	w.addMembers([]string{"z1", "z1", "z2", "z2", "z3"})
 	w.runAll()
 	w.awaitOwners("pa", "~fleet")
 	time.Sleep(2 * time.Second)
@@ -262,7 +262,7 @@
 func manyTimes(w *world, trouble bool) []string {
 	w.store.put("op", "config", config(1, []map[string]any{route("a", "pa")}, []string{"pa"}, twoTenants))
 	w.addWorkers("pa", 12, 64000)
-	w.addMembers([]string{"z1", "z1", "z2", "z2", "z3"}, "")
+	w.addMembers([]string{"z1", "z1", "z2", "z2", "z3"})
 	w.runAll()
 	w.awaitOwners("pa", "~fleet")
 	time.Sleep(2 * time.Second)
@@ -292,7 +292,7 @@
 func failingTasks(w *world, trouble bool) []string {
 	w.store.put("op", "config", config(1, []map[string]any{route("a", "pa")}, []string{"pa"}, twoTenants))
 	w.addWorkers("pa", 12, 64000)
-	w.addMembers([]string{"z1", "z1", "z2", "z2", "z3"}, "")
+	w.addMembers([]string{"z1", "z1", "z2", "z2", "z3"})
 	w.runAll()
 	w.awaitOwners("pa", "~fleet")
 	time.Sleep(2 * time.Second)
@@ -322,7 +322,7 @@
 	t1, t2, t3 := twoTenants[0], twoTenants[1], map[string]any{"name": "t3", "apiKeys": []string{"k3"}, "weight": 10}
 	w.store.put("op", "config", config(1, routes, []string{"pa"}, []map[string]any{t1, t2, t3}))
 	w.addWorkers("pa", 6, 64000)
-	w.addMembers([]string{"z1", "z1", "z2", "z2", "z3"}, "")
+	w.addMembers([]string{"z1", "z1", "z2", "z2", "z3"})
 	w.runAll()
 	w.awaitOwners("pa", "~fleet")
 	time.Sleep(2 * time.Second)
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -77,12 +77,6 @@
 	s.apply([]row{{Table: table, Key: key, Value: text}}, nil)
 }
 
-func (s *store) remove(table, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.apply(nil, []row{{Table: table, Key: key}})
-}
-
 func (s *store) get(table, part, key string) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,14 +14,10 @@
 
 // workerRun is one run on a worker, as the worker saw it.
 type workerRun struct {
-	worker, task, how string
-	run               int
-	fence             uint64
-	spec              string
-	from, to          time.Time // to is zero while it runs
-	acked             bool
-	number            int64
-	timer             *time.Timer
+	task, how, spec string // how is empty while it runs
+	run             int
+	number          int64 // of its end
+	timer           *time.Timer
 }
 
 // failTime is the time after which a task with the spec "fails" fails.
@@ -45,7 +40,6 @@
 	ended   []*workerRun
 	last    int64
 	changed chan struct{}
-	runs    []*workerRun
 	seq     int
 }
 
@@ -104,7 +98,7 @@
 	}
 	delete(w.active, r.task)
 	w.last++
-	r.how, r.to, r.number = how, time.Now(), w.last
+	r.how, r.number = how, w.last
 	w.highest[r.task] = max(w.highest[r.task], r.run)
 	w.ended = append(w.ended, r)
 	close(w.changed)
@@ -152,9 +146,8 @@
 			refuse("old")
 			return
 		}
-		e := &workerRun{worker: w.id, task: in.Task, run: in.Run, fence: in.Fence, spec: in.Spec, from: time.Now()}
+		e := &workerRun{task: in.Task, run: in.Run, spec: in.Spec}
 		w.active[in.Task] = e
-		w.runs = append(w.runs, e)
 		if in.Spec == "fails" {
 			e.timer = time.AfterFunc(failTime, func() {
 				w.mu.Lock()
@@ -178,11 +171,9 @@
 		w.until = max(w.until, min(in.UntilMs, w.clock()+6000))
 		keep := w.ended[:0:0]
 		for _, e := range w.ended {
-			if e.number <= in.AckedUpto {
-				e.acked = true
-				continue
+			if e.number > in.AckedUpto {
+				keep = append(keep, e)
 			}
-			keep = append(keep, e)
 		}
 		w.ended = keep
 		if in.WaitMs > 0 && len(w.ended) == 0 {
@@ -214,7 +205,3 @@
 	}
 	answer(rw, http.StatusOK, map[string]any{"clockMs": w.clock()})
 }
-
-func (r *workerRun) String() string {
-	return fmt.Sprintf("%s run %d on %s (fence %d)", r.task, r.run, r.worker, r.fence)
-}
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -73,7 +73,7 @@
 func (w *world) note(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	fmt.Fprintf(w.record, "%9.3f %s\n", time.Since(w.begin).Seconds(), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(w.record, "%9.3f %s\n", time.Since(w.begin).Seconds(), fmt.Sprintf(format, args...))
 }
 
 func newWorld(record string) *world {
@@ -97,7 +97,7 @@
 }
 
 // addMembers prepares the settings of members, one for each of the zones.
-func (w *world) addMembers(zones []string, cloud string) {
+func (w *world) addMembers(zones []string) {
 	const front, ready, first = 8340, 8343, 7000
 	for i, zone := range zones {
 		m := &member{name: fmt.Sprintf("edge-%s-%d", zone, i+1), zone: zone, ip: w.prefixIP + strconv.Itoa(i+1)}
@@ -127,9 +127,6 @@
 				"rowBytes": 65536, "across": true, "historyS": 20, "blobBytes": 8388608, "blobMs": 25.0, "blobMbS": 80.0,
 			},
 		}
-		if cloud != "" {
-			settings["cloud"] = map[string]any{"addr": cloud, "ratePerS": 64.0, "dutyPerS": 64.0}
-		}
 		text, _ := json.Marshal(settings)
 		m.file = filepath.Join(w.dir, m.name+".json")
 		if err := os.WriteFile(m.file, text, 0o600); err != nil {
