--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -257,8 +257,9 @@
 	return other.checkLost(40)
 }
 
-// manyTimes: a tenant hands in 20 jobs that run at given times, 10,000 each, one a second, which are all past already.
-// All of them together are work for a few seconds of the pool. Another tenant's jobs in that pool are judged.
+// manyTimes: a tenant usually hands in two jobs a second that run at ten given times, one a second, which are all past
+// already. For 2 s ten more come in a second, large ones, with 10,000 past times each; all of these together are work
+// for a few seconds of the pool. Another tenant's jobs in that pool are judged.
 func manyTimes(w *world, trouble bool) []string {
 	w.store.put("op", "config", config(1, []map[string]any{route("a", "pa")}, []string{"pa"}, twoTenants))
 	w.addWorkers("pa", 12, 64000)
@@ -269,21 +270,23 @@
 	begin := time.Now()
 	end := begin.Add(30 * time.Second)
 	other := &client{w: w, key: "k2", prefix: "/a/"}
-	timed := &client{w: w, key: "k1", prefix: "/a/"}
-	count := 10
+	usual := &client{w: w, key: "k1", prefix: "/a/"}
+	large := &client{w: w, key: "k1", prefix: "/a/"}
+	job := func(times int) any {
+		first := begin.Add(time.Duration(-times) * time.Second)
+		return map[string]any{
+			"spec": "200", "runCount": times, "firstMs": first.UnixMilli(), "intervalMs": 1000,
+			"steps": []map[string]any{{"count": 1, "cpu": 50, "memMb": 10, "estMs": 200}},
+		}
+	}
+	go usual.traffic(500*time.Millisecond, end, job(10))
 	if trouble {
-		count = 10000
+		time.AfterFunc(5*time.Second, func() { large.traffic(100*time.Millisecond, begin.Add(7*time.Second), job(10000)) })
 	}
-	time.AfterFunc(5*time.Second, func() {
-		timed.traffic(100*time.Millisecond, begin.Add(7*time.Second), map[string]any{
-			"spec": "200", "runCount": count, "firstMs": begin.Add(-10000 * time.Second).UnixMilli(), "intervalMs": 1000,
-			"steps": []map[string]any{{"count": 1, "cpu": 50, "memMb": 10, "estMs": 200}},
-		})
-	})
-	other.traffic(500*time.Millisecond, end, smallJob())
+	other.traffic(100*time.Millisecond, end, smallJob())
 	other.wg.Wait()
 	time.Sleep(time.Until(end.Add(finishTime)))
-	w.note("%d jobs that run at given times were accepted; the pool's owner: %s", timed.count(), w.store.get("tenures", "pa", "holder"))
+	w.note("accepted: %d large jobs, %d usual ones of the same tenant; the pool's owner: %s", large.count(), usual.count(), w.store.get("tenures", "pa", "holder"))
 	return other.checkLost(40)
 }
 
